--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# `make test` and `make demo` set up everything they need on a fresh machine.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/model packages/decisions packages/wire packages/daemon packages/cli standins
+
+.PHONY: setup test lint demo bench soak generate
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock packages/*/pyproject.toml standins/pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e $(p))
+	touch $@
+
+generate: setup
+	$(BIN)/python tools/generate.py
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+	$(BIN)/python tools/generate.py --check
+
+test: setup lint
+	$(BIN)/python -m pytest
+
+soak: setup
+	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest packages
+
+demo: setup
+	$(BIN)/python bench/demo.py
+
+bench: setup
+	$(BIN)/python -m bench
--- /dev/null
+++ b/packages/cli/src/flamingolift_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operator's command line."""
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/cli/src/flamingolift_cli/fleetview.py
@@ -0,0 +1,101 @@
+"""What the instances of the fleet say of themselves."""
+
+import asyncio
+import time
+
+import aiohttp
+from expression import Error, Ok, Result
+from flamingolift_model import Fault, ResultCode
+from flamingolift_model.plan import LiveList
+from flamingolift_wire.codec import decode_document
+from flamingolift_wire.storeclient import watch_live_list
+
+__all__ = ["ask_all", "ask_one", "read_live_list", "wait_in_force"]
+
+ASK_TIMEOUT_S = 2.0
+POLL_INTERVAL_S = 0.1
+MAX_PARALLEL = 64
+
+
+async def read_live_list(store) -> Result:
+    """Reads the platform's live list; Ok holds a LiveList."""
+    listed = await watch_live_list(store, -1, 0.0)
+    if listed.is_error():
+        return listed
+    if not listed.ok:
+        return Ok(LiveList(number=0))
+    return decode_document(LiveList, listed.ok)
+
+
+async def ask_one(session, entry, path, operator_key) -> Result:
+    """Asks one instance for an operator's page.
+
+    Args:
+        session: aiohttp session.
+        entry: InstanceEntry.
+        path: Path and query.
+        operator_key: Operator key (hex).
+
+    Returns:
+        Ok with the page as plain values, or Error with a Fault.
+    """
+    url = f"http://{entry.host}:{entry.operator_port}{path}"
+    headers = {"Authorization": f"Bearer {operator_key}"}
+    timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+    try:
+        async with session.get(url, headers=headers, timeout=timeout) as resp:
+            page = await resp.json(content_type=None)
+    except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
+        detail = f"{entry.instance_id}: {type(exc).__name__}"
+        return Error(Fault(ResultCode.PEER_UNREACHABLE, detail))
+    if resp.status != 200:
+        code = page.get("code", ResultCode.INTERNAL) if isinstance(page, dict) else 5900
+        detail = page.get("detail", "") if isinstance(page, dict) else ""
+        return Error(Fault(code, f"{entry.instance_id}: {detail}"))
+    return Ok(page)
+
+
+async def ask_all(session, entries, path, operator_key):
+    """Asks many instances, a bounded number at a time.
+
+    Returns:
+        Map of instance name to its Result.
+    """
+    gate = asyncio.Semaphore(MAX_PARALLEL)
+
+    async def ask(entry):
+        async with gate:
+            return await ask_one(session, entry, path, operator_key)
+
+    answers = await asyncio.gather(*(ask(entry) for entry in entries))
+    return {e.instance_id: a for e, a in zip(entries, answers, strict=True)}
+
+
+async def wait_in_force(session, entries, number, operator_key, timeout_s):
+    """Waits until a policy is in force on every instance.
+
+    Args:
+        session: aiohttp session.
+        entries: List of InstanceEntry.
+        number: Policy number.
+        operator_key: Operator key (hex).
+        timeout_s: Longest wait (s).
+
+    Returns:
+        Map of the instances where it is not in force to the number that they
+        have, or to the reason for which they did not say; empty when all have it.
+    """
+    ends_at = time.monotonic() + timeout_s
+    waiting = list(entries)
+    while True:
+        answers = await ask_all(session, waiting, "/v1/status", operator_key)
+        late = {}
+        for name, answer in answers.items():
+            if answer.is_error():
+                late[name] = answer.error.detail
+            elif answer.ok["versions"].get("policy", 0) < number:
+                late[name] = answer.ok["versions"].get("policy", 0)
+        if not late or time.monotonic() > ends_at:
+            return late
+        waiting = [entry for entry in waiting if entry.instance_id in late]
+        await asyncio.sleep(POLL_INTERVAL_S)
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The entry instance: one process that answers look-ups and carries requests."""
+
+__all__ = ["main", "wiring"]
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -0,0 +1,298 @@
+"""HTTP connections to the backend servers."""
+
+import asyncio
+
+import aiohttp
+from expression import Error, Ok, Result
+from flamingolift_model import Fault, ResultCode
+from yarl import URL
+
+from flamingolift_daemon.metrics import count
+
+__all__ = [
+    "BackendAnswer",
+    "BackendClients",
+    "Outcome",
+    "close_answer",
+    "close_clients",
+    "end_to_end_headers",
+    "is_complete_framing",
+    "retire_connections",
+    "send_request",
+]
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+NOT_RUN_HEADER = "Request-Outcome"
+DEADLINE_HEADER = "Request-Deadline-Ms"
+KEEP_ALIVE_S = 15.0
+READ_BUFFER_BYTES = 65_536
+MAX_FIELD_BYTES = 16_384
+
+
+class ServerConnections:
+    """Connections to one backend server that are retired together.
+
+    Attributes:
+        session: aiohttp session.
+        in_use: Number of requests on it.
+        retired: Whether it is closed after the last of them.
+    """
+
+    __slots__ = ("in_use", "retired", "session")
+
+    def __init__(self, session):
+        self.session = session
+        self.in_use = 0
+        self.retired = False
+
+
+class BackendClients:
+    """One set of connections for each backend server.
+
+    Attributes:
+        by_server: Map of backend server to its ServerConnections.
+        fresh: ServerConnections that open a new connection for each request.
+        connect_timeout_s: Timeout for a new connection (s).
+        idle_read_timeout_s: Longest silence within an answer (s).
+        metrics: Metrics.
+    """
+
+    __slots__ = (
+        "by_server",
+        "connect_timeout_s",
+        "fresh",
+        "idle_read_timeout_s",
+        "metrics",
+    )
+
+    def __init__(self, connect_timeout_s, idle_read_timeout_s, metrics):
+        self.by_server = {}
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_read_timeout_s = idle_read_timeout_s
+        self.metrics = metrics
+        self.fresh = ServerConnections(_make_session(force_close=True))
+
+
+def _make_session(**options):
+    if not options:
+        options = {"keepalive_timeout": KEEP_ALIVE_S}
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, ttl_dns_cache=None, **options),
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+        max_field_size=MAX_FIELD_BYTES,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        raise_for_status=False,
+    )
+    # The library's own second try would run outside the retry budget.
+    session._retry_connection = False
+    return session
+
+
+class Outcome:
+    """How a request to a backend server failed.
+
+    Attributes:
+        name: Outcome of the schema's Release message.
+        sent: Whether a byte of the request may have left.
+        fault: Fault for the caller, should this be the last try.
+    """
+
+    __slots__ = ("fault", "name", "sent")
+
+    def __init__(self, name, sent, fault):
+        self.name = name
+        self.sent = sent
+        self.fault = fault
+
+
+class BackendAnswer:
+    """An answer whose head has arrived; `close_answer` must end it.
+
+    Attributes:
+        resp: aiohttp response.
+        connections: ServerConnections that it came over.
+        status: HTTP status.
+        headers: List of end-to-end (name, value).
+    """
+
+    __slots__ = ("connections", "headers", "resp", "status")
+
+    def __init__(self, resp, connections):
+        self.resp = resp
+        self.connections = connections
+        self.status = resp.status
+        self.headers = end_to_end_headers(resp.headers.items())
+
+
+def end_to_end_headers(pairs):
+    """Returns header fields without the hop-by-hop ones.
+
+    Args:
+        pairs: Iterable of (name, value).
+
+    Returns:
+        List of (name, value) in the same order.
+    """
+    pairs = list(pairs)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_BY_HOP | named
+    return [(name, value) for name, value in pairs if name.lower() not in dropped]
+
+
+def is_complete_framing(resp, method):
+    """Returns whether the end of an answer's body can be told from a cut.
+
+    Args:
+        resp: aiohttp response.
+        method: HTTP method of the request.
+    """
+    if method == "HEAD" or resp.status in (204, 304):
+        return True
+    if "Content-Length" in resp.headers:
+        return True
+    return "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
+
+
+def retire_connections(clients, server_id):
+    """Stops using the open connections to a backend server, all of them.
+
+    Args:
+        clients: BackendClients.
+        server_id: Backend server that gave no answer on one of them. Requests in
+            flight on the others go on; new ones open new connections.
+    """
+    connections = clients.by_server.pop(server_id, None)
+    if connections is None:
+        return
+    count(clients.metrics, "connections.retired")
+    connections.retired = True
+
+
+async def _leave(connections):
+    """Accounts for the end of one request on a set of connections."""
+    connections.in_use -= 1
+    if connections.retired and connections.in_use == 0:
+        await connections.session.close()
+
+
+async def close_answer(answer):
+    """Ends an answer; its connection is reused only if it was read to the end.
+
+    Args:
+        answer: BackendAnswer.
+    """
+    if not answer.resp.content.at_eof():
+        answer.resp.close()
+    answer.resp.release()
+    await _leave(answer.connections)
+
+
+async def close_clients(clients):
+    """Closes all connections."""
+    for connections in [*clients.by_server.values(), clients.fresh]:
+        await connections.session.close()
+
+
+def _connections_to(clients, server_id):
+    connections = clients.by_server.get(server_id)
+    if connections is None:
+        connections = ServerConnections(_make_session())
+        clients.by_server[server_id] = connections
+    return connections
+
+
+async def send_request(
+    clients, slot, method, target, headers, body, *, timeout_s, fresh=False
+) -> Result:
+    """Sends a request to the backend server of a slot and awaits the head.
+
+    Args:
+        clients: BackendClients.
+        slot: Slot on the backend server.
+        method: HTTP method.
+        target: Path and query, percent-encoded.
+        headers: List of end-to-end (name, value).
+        body: Bytes, an asynchronous iterator of bytes, or None.
+        timeout_s: Time left for the head of the answer (s).
+        fresh: Whether to use a new connection.
+
+    Returns:
+        Ok with a BackendAnswer, or Error with an Outcome. Only a connection that
+        was never opened, or the server's own word, counts as not sent.
+    """
+    if timeout_s <= 0.0:
+        fault = Fault(ResultCode.DEADLINE_BEFORE_RUN, "no time was left")
+        return Error(Outcome("cancelled", False, fault))
+    connections = clients.fresh if fresh else _connections_to(clients, slot.server_id)
+    url = URL(f"http://{slot.host}:{slot.port}{target}", encoded=True)
+    timeout = aiohttp.ClientTimeout(
+        sock_connect=min(clients.connect_timeout_s, timeout_s),
+        sock_read=clients.idle_read_timeout_s,
+    )
+    sent = [*headers, (DEADLINE_HEADER, str(int(timeout_s * 1000)))]
+    connections.in_use += 1
+    judged = None
+    try:
+        resp = await asyncio.wait_for(
+            connections.session.request(
+                method,
+                url,
+                headers=sent,
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ),
+            timeout_s,
+        )
+        judged = _judge_head(slot, method, resp, connections)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        fault = Fault(ResultCode.NO_BACKEND, f"{slot.server_id}: {exc}", 1000)
+        return Error(Outcome("refused_connection", False, fault))
+    except TimeoutError:
+        if not fresh:
+            retire_connections(clients, slot.server_id)
+        fault = Fault(ResultCode.BACKEND_TIMEOUT, f"{slot.server_id} gave no answer")
+        return Error(Outcome("timeout", True, fault))
+    except (aiohttp.ClientError, OSError, ValueError) as exc:
+        detail = f"{slot.server_id}: {type(exc).__name__}"
+        fault = Fault(ResultCode.BACKEND_FAILED, detail)
+        return Error(Outcome("crashed", True, fault))
+    finally:
+        if judged is None or judged.is_error():
+            await _leave(connections)
+    return judged
+
+
+def _judge_head(slot, method, resp, connections):
+    """Accepts the head of an answer, or explains why it is not passed on."""
+    if resp.status == 503 and resp.headers.get(NOT_RUN_HEADER) == "not-run":
+        resp.close()
+        detail = f"{slot.server_id} shed the request"
+        return Error(
+            Outcome("not_run", False, Fault(ResultCode.OVERLOADED, detail, 1000))
+        )
+    if not is_complete_framing(resp, method):
+        resp.close()
+        detail = f"{slot.server_id}: the answer's length cannot be checked"
+        fault = Fault(ResultCode.BACKEND_FAILED, detail)
+        return Error(Outcome("ok", True, fault))
+    return Ok(BackendAnswer(resp, connections))
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -0,0 +1,287 @@
+"""The callers' listener: look-ups and requests."""
+
+import asyncio
+
+from flamingolift_decisions.exceptions import rules_for
+from flamingolift_decisions.quarantine import fingerprint_request
+from flamingolift_decisions.steering import block_of, origin_of
+from flamingolift_model import Fault, FaultError, ResultCode, peer
+
+from flamingolift_daemon.backendclient import DEADLINE_HEADER, end_to_end_headers
+from flamingolift_daemon.bookinghome import take_booking
+from flamingolift_daemon.forwarding import (
+    IDEMPOTENT_METHODS,
+    Forward,
+    discard_answer,
+    forward_request,
+    stream_answer,
+)
+from flamingolift_daemon.httpserver import make_app, track_caller
+from flamingolift_daemon.load import note_busy
+from flamingolift_daemon.lookups import look_up
+from flamingolift_daemon.metrics import count, observe_ms
+
+__all__ = ["make_caller_app"]
+
+MAX_DEADLINE_MS = 600_000
+MAX_TENANT_CHARS = 128
+MAX_HEADERS = 100
+MAX_TARGET_CHARS = 8_192
+FINGERPRINT_BYTES = 65_536
+KEY_HEADER = "Idempotency-Key"
+BODILESS_STATUSES = frozenset((204, 304))
+REPLAY_HEADER = "Idempotency-Replayed"
+
+
+class LookupResource:
+    """``GET /v1/lookup``: which instance to use."""
+
+    def __init__(self, instance):
+        self.instance = instance
+
+    async def on_get(self, req, resp):
+        """Answers one look-up."""
+        service = req.get_param("service", required=True)
+        address = req.get_param("client") or req.remote_addr
+        answered = look_up(self.instance, service, address)
+        if answered.is_error():
+            raise FaultError(answered.error)
+        resp.media = answered.ok
+        ttl_s = int(answered.ok["ttl_s"])
+        private = "idempotency_key" in answered.ok
+        resp.cache_control = ["no-store"] if private else [f"max-age={ttl_s}"]
+
+
+class HealthResource:
+    """``GET /healthz`` and ``GET /readyz``."""
+
+    def __init__(self, instance, needs_policy):
+        self.instance = instance
+        self.needs_policy = needs_policy
+
+    async def on_get(self, req, resp):
+        """Answers 200 when healthy, and ready when that is asked."""
+        if self.instance.stopping.is_set() and self.needs_policy:
+            raise FaultError(Fault(ResultCode.DRAINING, "stopping"))
+        if self.needs_policy and not is_ready(self.instance):
+            raise FaultError(Fault(ResultCode.NOT_READY, "no policy in force"))
+        resp.media = {"ok": True}
+
+
+def is_ready(instance):
+    """Returns whether the instance can answer look-ups and requests."""
+    return instance.policy is not None and bool(instance.serving)
+
+
+def make_caller_app(instance):
+    """Returns the ASGI application of the callers' listener.
+
+    Args:
+        instance: Instance.
+    """
+    app = make_app()
+    app.add_route("/v1/lookup", LookupResource(instance))
+    app.add_route("/healthz", HealthResource(instance, needs_policy=False))
+    app.add_route("/readyz", HealthResource(instance, needs_policy=True))
+
+    async def serve(req, resp, service, rest=None):
+        await _serve(instance, req, resp, service)
+
+    app.add_sink(serve, prefix=r"/s/(?P<service>[A-Za-z0-9_.-]+)(?P<rest>/.*)?$")
+    return track_caller(app)
+
+
+async def _serve(instance, req, resp, service):
+    """Serves one request of a caller, from the slot to the last byte."""
+    if instance.refusing or instance.in_flight >= instance.cfg.max_connections:
+        code = ResultCode.DRAINING if instance.refusing else ResultCode.OVERLOADED
+        resp.set_header("Connection", "close")
+        raise FaultError(Fault(code, "", 1000))
+    if instance.policy is None:
+        raise FaultError(Fault(ResultCode.NOT_READY, "no policy in force", 1000))
+    started_at = instance.clock.now()
+    block = block_of(req.remote_addr)
+    origin = origin_of(instance.policy.blocks, block)
+    wall = instance.clock.wall()
+    rules = rules_for(instance.policy, service, block, origin, wall)
+    if rules is None:
+        raise FaultError(Fault(ResultCode.BAD_REQUEST, f"unknown service {service}"))
+    request = _read_head(req, service, rules, block, started_at)
+    instance.in_flight += 1
+    count(instance.metrics, "requests.received")
+    try:
+        if rules.traffic_class == "booking" and req.method not in IDEMPOTENT_METHODS:
+            await _serve_booking(instance, req, resp, request)
+            _note_end(instance, request, origin, started_at)
+        else:
+            await _serve_idempotent(instance, req, resp, request, origin, started_at)
+    except FaultError as exc:
+        count(instance.metrics, f"requests.refused.{exc.fault.code.value}")
+        raise
+    finally:
+        if resp.stream is None:
+            instance.in_flight -= 1
+
+
+def _read_head(req, service, rules, block, now):
+    """Returns the Forward of a request, without its body."""
+    raw_path = req.scope["raw_path"].decode("ascii", "strict")
+    target = "/" + raw_path.split("/", 3)[3] if raw_path.count("/") >= 3 else "/"
+    if req.query_string:
+        target += "?" + req.query_string
+    headers = end_to_end_headers(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in req.scope["headers"]
+    )
+    if len(headers) > MAX_HEADERS or len(target) > MAX_TARGET_CHARS:
+        raise FaultError(Fault(ResultCode.TOO_LARGE, "too many or too long fields"))
+    deadline_ms = _deadline_ms(req, rules)
+    own = (DEADLINE_HEADER.lower(), "host", "tenant", KEY_HEADER.lower(), "expect")
+    return Forward(
+        service,
+        rules,
+        req.method,
+        target,
+        [(n, v) for n, v in headers if n.lower() not in own],
+        None,
+        (req.get_header("Tenant") or block)[:MAX_TENANT_CHARS],
+        "",
+        now + deadline_ms / 1000.0,
+    )
+
+
+def _deadline_ms(req, rules):
+    """Returns the time left by the caller's header or the policy (ms)."""
+    text = req.get_header(DEADLINE_HEADER)
+    if text is None:
+        return rules.deadline_ms
+    if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        detail = f"{DEADLINE_HEADER} must be from 1 to {MAX_DEADLINE_MS}"
+        raise FaultError(Fault(ResultCode.BAD_REQUEST, detail))
+    return int(text)
+
+
+async def _serve_booking(instance, req, resp, request):
+    """Takes a booking and answers it whole."""
+    key = req.get_header(KEY_HEADER)
+    if not key:
+        raise FaultError(Fault(ResultCode.KEY_REQUIRED, "look up the service first"))
+    body = await _read_body(req, instance.cfg.max_booking_bytes)
+    left_s = request.deadline - instance.clock.now()
+    booking = peer.Booking(
+        key=key,
+        service=request.service,
+        method=request.method,
+        target=request.target,
+        headers=[peer.Header(name=n, value=v) for n, v in request.headers],
+        body=body,
+        tenant=request.tenant,
+        deadline_ms=max(0, int(left_s * 1000)),
+    )
+    taken = await take_booking(instance, booking)
+    if taken.is_error():
+        raise FaultError(taken.error)
+    answer = taken.ok
+    resp.status = answer.status
+    resp.data = answer.body
+    for header in answer.headers:
+        if header.name.lower() != "content-length":
+            resp.append_header(header.name, header.value)
+    if answer.replayed:
+        resp.set_header(REPLAY_HEADER, "true")
+
+
+async def _read_body(req, limit):
+    """Reads a body of bounded size.
+
+    Raises:
+        FaultError: The body exceeds the limit.
+    """
+    fault = Fault(ResultCode.TOO_LARGE, f"the body exceeds {limit} bytes")
+    if (req.content_length or 0) > limit:
+        raise FaultError(fault)
+    body = bytearray()
+    async for chunk in req.stream:
+        body += chunk
+        if len(body) > limit:
+            raise FaultError(fault)
+    return bytes(body)
+
+
+async def _serve_idempotent(instance, req, resp, request, origin, started_at):
+    """Passes a request on and streams the answer back."""
+    has_body = bool(req.content_length) or req.get_header("Transfer-Encoding")
+    if has_body:
+        request.body = _stream_body(req)
+    identity = request.headers if has_body else []
+    request.fingerprint = fingerprint_request(
+        request.service, request.method, request.target, repr(identity).encode()
+    )
+    gone = req.scope["caller_gone"]
+    forwarded = await _unless_gone(gone, forward_request(instance, request), instance)
+    if forwarded is None:
+        count(instance.metrics, "requests.caller_gone")
+        return
+    if forwarded.is_error():
+        raise FaultError(forwarded.error)
+    answer = forwarded.ok.answer
+    resp.status = answer.status
+    for name, value in answer.headers:
+        resp.append_header(name, value)
+    body = _stream_to_caller(instance, request, forwarded.ok, gone, origin, started_at)
+    if req.method == "HEAD" or answer.status in BODILESS_STATUSES:
+        # Nothing will iterate the stream, so that its end is reached here.
+        async for _ in body:
+            pass
+        instance.in_flight += 1
+        return
+    resp.stream = body
+
+
+async def _stream_body(req):
+    """Yields the chunks of a caller's body as they arrive."""
+    async for chunk in req.stream:
+        if chunk:
+            yield chunk
+
+
+async def _unless_gone(gone, coro, instance):
+    """Awaits a Result, but cancels it and returns None when the caller leaves."""
+    work = asyncio.ensure_future(coro)
+    leave = asyncio.ensure_future(gone.wait())
+    try:
+        await asyncio.wait({work, leave}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            return work.result()
+        return None
+    finally:
+        leave.cancel()
+        if not work.done():
+            work.cancel()
+            finished = (await asyncio.gather(work, return_exceptions=True))[0]
+            if not isinstance(finished, BaseException) and finished.is_ok():
+                await discard_answer(instance, finished.ok)
+
+
+async def _stream_to_caller(instance, request, forwarded, gone, origin, started_at):
+    """Yields the answer's body until its end or until the caller leaves."""
+    body = stream_answer(instance, request, forwarded)
+    try:
+        async for chunk in body:
+            if gone.is_set():
+                count(instance.metrics, "requests.caller_gone")
+                break
+            yield chunk
+    finally:
+        await body.aclose()
+        instance.in_flight -= 1
+        _note_end(instance, request, origin, started_at)
+
+
+def _note_end(instance, request, origin, started_at):
+    """Records the time of one request for the histograms and the planner."""
+    elapsed_s = instance.clock.now() - started_at
+    metrics = instance.metrics
+    observe_ms(metrics, request.service, request.rules.traffic_class, elapsed_s * 1000)
+    observe_ms(metrics, request.service, f"tenant:{request.tenant}", elapsed_s * 1000)
+    note_busy(instance, request.service, origin, elapsed_s)
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/dispatching.py
@@ -0,0 +1,449 @@
+"""Slots of the backend servers: the dispatcher's side and the holder's side."""
+
+import asyncio
+import secrets
+
+from expression import Error, Ok, Result
+from flamingolift_decisions.exceptions import drained_servers, server_limits
+from flamingolift_decisions.fairness import remove_waiter
+from flamingolift_decisions.pool import (
+    Grant,
+    SlotPool,
+    SlotRequest,
+    adopt_grant,
+    enqueue,
+    expire_grants,
+    grant_waiting,
+    release_grant,
+    sync_servers,
+)
+from flamingolift_decisions.quarantine import add_quarantine, remaining_s
+from flamingolift_decisions.topology import choose_dispatcher
+from flamingolift_model import Fault, ResultCode, peer
+
+from flamingolift_daemon.instance import start_task
+from flamingolift_daemon.logs import logger
+from flamingolift_daemon.metrics import count
+from flamingolift_daemon.peerlinks import (
+    AVOID_S,
+    broadcast,
+    call_peer,
+    get_link,
+    send_message,
+)
+
+__all__ = [
+    "Slot",
+    "acquire_slot",
+    "handle_acquire",
+    "handle_holdings",
+    "handle_quarantine",
+    "handle_release",
+    "release_holders",
+    "release_slot",
+    "run_pools",
+]
+
+RECOVERY_S = 1.0
+"""Time in which a new dispatcher holds back half of the slots (s)."""
+PUMP_INTERVAL_S = 0.02
+"""Time between looks at waiters whose time is up (s)."""
+ANSWER_SLACK_S = 0.5
+DISPATCHER_TRIES = 3
+
+
+class Slot:
+    """A slot in use by this instance.
+
+    Attributes:
+        service: Service name.
+        region: Region of the pool.
+        dispatcher: Name of the granting instance.
+        grant_id: Id of the grant.
+        server_id: Backend server.
+        host: IP address of the backend server.
+        port: TCP port of the backend server.
+        held_until: Time at which the dispatcher takes it back (s, monotonic).
+    """
+
+    __slots__ = (
+        "dispatcher",
+        "grant_id",
+        "held_until",
+        "host",
+        "port",
+        "region",
+        "server_id",
+        "service",
+    )
+
+    def __init__(self, service, region, dispatcher, grant, held_until):
+        self.service = service
+        self.region = region
+        self.dispatcher = dispatcher
+        self.grant_id = grant.grant_id
+        self.server_id = grant.server_id
+        self.host = grant.host
+        self.port = grant.port
+        self.held_until = held_until
+
+
+def _pool_of(instance, service_name, region):
+    """Returns the pool that this instance dispatches, making it if need be."""
+    pool = instance.pools.get((service_name, region))
+    if pool is not None:
+        return pool
+    service = instance.policy.services.get(service_name)
+    if service is None:
+        return None
+    now = instance.clock.now()
+    # Grant ids are unique over all dispatchers, so that a slot granted by a
+    # former one can be entered and released under its own id.
+    first_id = secrets.randbits(40) << 20
+    pool = SlotPool(service, first_id, now, RECOVERY_S)
+    pool.crashes = instance.crash_log
+    instance.pools[service_name, region] = pool
+    _sync_pool(instance, pool, service_name, region)
+    logger.info("pool_opened", extra={"service": service_name, "region": region})
+    return pool
+
+
+def _sync_pool(instance, pool, service_name, region):
+    entries = [
+        e
+        for e in (instance.live_list.backend_servers if instance.live_list else [])
+        if e.service == service_name and e.region == region
+    ]
+    wall = instance.clock.wall()
+    drained = drained_servers(instance.policy, entries, wall)
+    limits = server_limits(instance.policy, entries, wall)
+    service = instance.policy.services[service_name]
+    sync_servers(pool, service, entries, drained, limits, instance.clock.now())
+
+
+def _as_message(grant):
+    entry = grant.server.entry
+    return peer.Grant(
+        grant_id=grant.grant_id,
+        server_id=entry.server_id,
+        host=entry.host,
+        port=entry.port,
+    )
+
+
+def _as_refusal(fault):
+    return peer.Refusal(
+        code=fault.code, detail=fault.detail, retry_after_ms=fault.retry_after_ms
+    )
+
+
+def handle_acquire(instance, link, message, call_id):
+    """Answers a peer that asks for a slot, now or when one is free."""
+    if instance.policy is None:
+        return _as_refusal(Fault(ResultCode.NOT_READY, "no policy"))
+    region = instance.cfg.region
+    pool = _pool_of(instance, message.service, region)
+    if pool is None:
+        return _as_refusal(Fault(ResultCode.BAD_REQUEST, "unknown service"))
+
+    def resolve(outcome):
+        """Sends the outcome; returns whether the stream took it."""
+        answer = (
+            _as_message(outcome) if isinstance(outcome, Grant) else _as_refusal(outcome)
+        )
+        return send_message(link, answer, reply_to=call_id)
+
+    request = SlotRequest(
+        link.remote_id,
+        message.tenant,
+        message.fingerprint,
+        message.hold_ms / 1000.0,
+        message.avoid,
+    )
+    wait_s = message.wait_ms / 1000.0
+    queued = enqueue(pool, request, wait_s, resolve, instance.clock.now())
+    if queued.is_error():
+        return _as_refusal(queued.error)
+    return _as_message(queued.ok) if isinstance(queued.ok, Grant) else None
+
+
+def handle_release(instance, link, message, call_id):
+    """Takes back a slot that a peer no longer uses."""
+    _release_in_pool(
+        instance,
+        message.service,
+        instance.cfg.region,
+        message.grant_id,
+        message.outcome,
+        message.elapsed_ms,
+    )
+
+
+def _release_in_pool(instance, service, region, grant_id, outcome, elapsed_ms):
+    pool = instance.pools.get((service, region))
+    if pool is None:
+        return
+    now = instance.clock.now()
+    guilty = release_grant(pool, grant_id, outcome, elapsed_ms, now)
+    if guilty is not None:
+        logger.warning("request_quarantined", extra={"fingerprint": guilty})
+        count(instance.metrics, "quarantine.decided")
+        _tell_quarantine(instance, guilty)
+    _pump(instance, pool)
+
+
+def _pump(instance, pool):
+    """Hands free slots to waiters and refuses those that waited too long."""
+    now = instance.clock.now()
+    served, expired = grant_waiting(pool, now)
+    for waiter, grant in served:
+        if not waiter.token(grant):
+            release_grant(pool, grant.grant_id, "cancelled", 0.0, now)
+    for waiter in expired:
+        waiter.token(Fault(ResultCode.OVERLOADED, "no slot became free", 1000))
+
+
+def _tell_quarantine(instance, fingerprint, except_link=None):
+    left_s = remaining_s(instance.crash_log, fingerprint, instance.clock.now())
+    message = peer.Quarantine(fingerprint=fingerprint, remaining_ms=int(left_s * 1000))
+    broadcast(instance, message, except_link)
+
+
+def handle_quarantine(instance, link, message, call_id):
+    """Takes over a neighbour's quarantine and passes it on once."""
+    now = instance.clock.now()
+    fresh = add_quarantine(
+        instance.crash_log, message.fingerprint, message.remaining_ms / 1000.0, now
+    )
+    if fresh:
+        count(instance.metrics, "quarantine.heard")
+        _tell_quarantine(instance, message.fingerprint, link)
+
+
+def handle_holdings(instance, link, message, call_id):
+    """Enters the slots that a peer holds from a former dispatcher."""
+    if instance.policy is None:
+        return _as_refusal(Fault(ResultCode.NOT_READY, "no policy"))
+    pool = _pool_of(instance, message.service, instance.cfg.region)
+    if pool is None:
+        return _as_refusal(Fault(ResultCode.BAD_REQUEST, "unknown service"))
+    now = instance.clock.now()
+    for held in message.slots:
+        request = SlotRequest(link.remote_id, "", "", held.hold_ms / 1000.0)
+        adopt_grant(pool, held.server_id, held.grant_id, request, now)
+    return peer.Acknowledgement()
+
+
+def release_holders(instance, names):
+    """Takes back the slots of instances that died."""
+    now = instance.clock.now()
+    for pool in instance.pools.values():
+        for grant in list(pool.grants.values()):
+            if grant.request.holder in names:
+                release_grant(pool, grant.grant_id, "cancelled", 0.0, now)
+        _pump(instance, pool)
+
+
+async def run_pools(instance):
+    """Refuses late waiters and takes over list and policy changes, for ever."""
+    synced = None
+    while True:
+        await asyncio.sleep(PUMP_INTERVAL_S)
+        now = instance.clock.now()
+        state = (
+            instance.policy.number if instance.policy else -1,
+            instance.live_list.number if instance.live_list else -1,
+            int(now),
+        )
+        for (service, region), pool in list(instance.pools.items()):
+            if state != synced:
+                if service not in instance.policy.services:
+                    if not pool.grants:
+                        del instance.pools[service, region]
+                    continue
+                _sync_pool(instance, pool, service, region)
+                expired = expire_grants(pool, now)
+                count(instance.metrics, "slots.expired", expired)
+            if pool.queue.size:
+                _pump(instance, pool)
+        synced = state
+
+
+async def acquire_slot(
+    instance, service, region, *, tenant, fingerprint, wait_s, hold_s, avoid=()
+) -> Result:
+    """Gets a slot on a backend server from the pool's dispatcher.
+
+    Args:
+        instance: Instance.
+        service: Service name.
+        region: Region of the pool.
+        tenant: Tenant, for fairness.
+        fingerprint: Fingerprint of the request.
+        wait_s: Longest wait in the queue (s).
+        hold_s: Longest time that the slot is held (s).
+        avoid: Backend servers not to use.
+
+    Returns:
+        Ok with a Slot, or Error with a Fault: then nothing was run.
+    """
+    fault = Fault(ResultCode.NO_BACKEND, f"region {region} has no instance", 1000)
+    for _ in range(DISPATCHER_TRIES):
+        now = instance.clock.now()
+        away = {n for n, until in instance.unreachable.items() if until > now}
+        away.discard(instance.cfg.instance_id)
+        chosen = choose_dispatcher(instance.serving, service, region, away)
+        if chosen is None:
+            break
+        name = chosen.instance_id
+        if name == instance.cfg.instance_id:
+            got = await _acquire_here(
+                instance, service, region, tenant, fingerprint, wait_s, hold_s, avoid
+            )
+        else:
+            message = peer.Acquire(
+                service=service,
+                tenant=tenant,
+                wait_ms=int(wait_s * 1000),
+                hold_ms=max(1, int(hold_s * 1000)),
+                fingerprint=fingerprint,
+                avoid=list(avoid),
+            )
+            got = await _acquire_there(instance, chosen, region, message)
+        if got.is_ok():
+            slot = Slot(service, region, name, got.ok, now + wait_s + hold_s)
+            instance.held_slots.setdefault((service, region), set()).add(slot)
+            return Ok(slot)
+        fault = got.error
+        if fault.code != ResultCode.PEER_UNREACHABLE:
+            break
+        instance.unreachable[name] = instance.clock.now() + AVOID_S
+    return Error(fault)
+
+
+async def _acquire_here(
+    instance, service, region, tenant, fingerprint, wait_s, hold_s, avoid
+):
+    pool = _pool_of(instance, service, region)
+    if pool is None:
+        return Error(Fault(ResultCode.BAD_REQUEST, f"unknown service {service}"))
+    future = asyncio.get_running_loop().create_future()
+
+    def resolve(outcome):
+        """Hands over the outcome; returns whether somebody still waits."""
+        if future.done():
+            return False
+        future.set_result(outcome)
+        return True
+
+    holder = instance.cfg.instance_id
+    request = SlotRequest(holder, tenant, fingerprint, hold_s, avoid)
+    queued = enqueue(pool, request, wait_s, resolve, instance.clock.now())
+    if queued.is_error():
+        return queued
+    if isinstance(queued.ok, Grant):
+        return Ok(_as_message(queued.ok))
+    try:
+        outcome = await future
+    except asyncio.CancelledError:
+        remove_waiter(pool.queue, queued.ok)
+        if future.done() and not future.cancelled():
+            _return_grant(instance, pool, future.result())
+        raise
+    return Ok(_as_message(outcome)) if isinstance(outcome, Grant) else Error(outcome)
+
+
+def _return_grant(instance, pool, outcome):
+    """Gives back a grant that arrived for a request that was cancelled."""
+    if isinstance(outcome, Grant):
+        now = instance.clock.now()
+        release_grant(pool, outcome.grant_id, "cancelled", 0.0, now)
+        _pump(instance, pool)
+
+
+async def _acquire_there(instance, entry, region, message):
+    opened = await get_link(instance, entry)
+    if opened.is_error():
+        return opened
+    link = opened.ok
+    await _tell_holdings(instance, link, region, message.service)
+    timeout_s = message.wait_ms / 1000.0 + ANSWER_SLACK_S
+    call = start_task(instance, call_peer(link, message, timeout_s))
+    try:
+        return await asyncio.shield(call)
+    except asyncio.CancelledError:
+        call.add_done_callback(lambda done: _give_back(done, link, message.service))
+        raise
+
+
+def _give_back(call, link, service):
+    """Releases a grant whose request was cancelled while it waited."""
+    if call.cancelled() or call.exception() is not None or call.result().is_error():
+        return
+    grant_id = call.result().ok.grant_id
+    release = peer.Release(service=service, grant_id=grant_id, outcome="cancelled")
+    send_message(link, release)
+
+
+async def _tell_holdings(instance, link, region, service):
+    """Tells a dispatcher once which slots were granted by others before it."""
+    now = instance.clock.now()
+    foreign = [
+        slot
+        for slot in instance.held_slots.get((service, region), ())
+        if slot.dispatcher != link.remote_id and slot.held_until > now
+    ]
+    if not foreign:
+        return
+    for slot in foreign:
+        slot.dispatcher = link.remote_id
+    slots = [
+        peer.HeldSlot(
+            server_id=slot.server_id,
+            grant_id=slot.grant_id,
+            hold_ms=int((slot.held_until - now) * 1000),
+        )
+        for slot in foreign
+    ]
+    message = peer.Holdings(service=service, slots=slots)
+    await call_peer(link, message, ANSWER_SLACK_S)
+
+
+def release_slot(instance, slot, outcome, elapsed_ms):
+    """Gives a slot back to its dispatcher.
+
+    Args:
+        instance: Instance.
+        slot: Slot; releasing it twice does nothing.
+        outcome: Outcome of the schema's Release message.
+        elapsed_ms: Time on the backend server (ms).
+    """
+    held = instance.held_slots.get((slot.service, slot.region), set())
+    if slot not in held:
+        return
+    held.discard(slot)
+    count(instance.metrics, f"slots.{outcome}")
+    if slot.dispatcher == instance.cfg.instance_id:
+        _release_in_pool(
+            instance, slot.service, slot.region, slot.grant_id, outcome, elapsed_ms
+        )
+        return
+    message = peer.Release(
+        service=slot.service,
+        grant_id=slot.grant_id,
+        outcome=outcome,
+        elapsed_ms=max(0.0, elapsed_ms),
+    )
+    link = instance.links.get(slot.dispatcher)
+    if link is None or not send_message(link, message):
+        start_task(instance, _release_later(instance, slot, message))
+
+
+async def _release_later(instance, slot, message):
+    """Opens a stream anew to release a slot whose stream broke."""
+    entry = instance.view.entries.get(slot.dispatcher)
+    if entry is None:
+        return
+    opened = await get_link(instance, entry)
+    if opened.is_ok():
+        send_message(opened.ok, message)
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -0,0 +1,427 @@
+"""The path of an idempotent request: slot, backend server, whole answer."""
+
+import asyncio
+
+from expression import Error, Ok, Result
+from flamingolift_decisions.budget import (
+    RetryBudget,
+    deposit,
+    set_ratio,
+    withdraw,
+)
+from flamingolift_decisions.quarantine import is_quarantined
+from flamingolift_model import Fault, FaultError, ResultCode
+
+from flamingolift_daemon.backendclient import close_answer, send_request
+from flamingolift_daemon.dispatching import acquire_slot, release_slot
+from flamingolift_daemon.metrics import count
+
+__all__ = [
+    "Forward",
+    "ForwardedAnswer",
+    "acquire_anywhere",
+    "discard_answer",
+    "forward_request",
+    "regions_to_try",
+    "stream_answer",
+]
+
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+MAX_TRIES = 3
+FIRST_TRY_SHARE = 0.5
+"""Share of the deadline for the first try, so that a second one has time."""
+CHUNK_BYTES = 65_536
+HOLD_SLACK_S = 1.0
+DOWNLOAD_HOLD_S = 300.0
+SILENT_REFUSAL_S = 0.2
+"""Time for which a region that refused is not asked again (s)."""
+
+
+class Forward:
+    """One caller's request on its way to a backend server.
+
+    Attributes:
+        service: Service name.
+        rules: ServiceRules in force.
+        method: HTTP method.
+        target: Path and query, percent-encoded.
+        headers: List of end-to-end (name, value).
+        body: Bytes, an asynchronous iterator of bytes, or None.
+        tenant: Tenant.
+        fingerprint: Fingerprint of the request.
+        deadline: Time by which the head must have arrived (s, monotonic).
+    """
+
+    __slots__ = (
+        "body",
+        "deadline",
+        "fingerprint",
+        "headers",
+        "method",
+        "rules",
+        "service",
+        "target",
+        "tenant",
+    )
+
+    def __init__(
+        self,
+        service,
+        rules,
+        method,
+        target,
+        headers,
+        body,
+        tenant,
+        fingerprint,
+        deadline,
+    ):
+        self.service = service
+        self.rules = rules
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.tenant = tenant
+        self.fingerprint = fingerprint
+        self.deadline = deadline
+
+
+class ForwardedAnswer:
+    """An answer under way, with the slot that it occupies.
+
+    Attributes:
+        answer: BackendAnswer.
+        slot: Slot.
+        started_at: Time at which the request was sent (s, monotonic).
+    """
+
+    __slots__ = ("answer", "slot", "started_at")
+
+    def __init__(self, answer, slot, started_at):
+        self.answer = answer
+        self.slot = slot
+        self.started_at = started_at
+
+
+def budget_of(instance, forward):
+    """Returns the retry budget of a service, with the ratio in force."""
+    budget = instance.budgets.get(forward.service)
+    ratio = forward.rules.retry_budget
+    if budget is None:
+        budget = instance.budgets[forward.service] = RetryBudget(ratio)
+    if budget.ratio != ratio:
+        set_ratio(budget, ratio)
+    return budget
+
+
+def regions_to_try(instance, service):
+    """Returns the regions whose pools to ask, the own one first.
+
+    Args:
+        instance: Instance.
+        service: Service name.
+
+    Returns:
+        List of region names that have backend servers of the service, without
+        other regions that refused a moment ago.
+    """
+    own = instance.cfg.region
+    now = instance.clock.now()
+    servers = instance.live_list.backend_servers if instance.live_list else []
+    others = {e.region for e in servers if e.service == service and e.region != own}
+    open_regions = [
+        region
+        for region in sorted(others)
+        if instance.unreachable.get((service, region), 0.0) <= now
+    ]
+    return [own, *open_regions]
+
+
+async def acquire_anywhere(instance, forward, hold_s, wait_s, avoid) -> Result:
+    """Gets a slot in the own region, or else in another one without waiting."""
+    fault = None
+    for position, region in enumerate(regions_to_try(instance, forward.service)):
+        got = await acquire_slot(
+            instance,
+            forward.service,
+            region,
+            tenant=forward.tenant,
+            fingerprint=forward.fingerprint,
+            wait_s=wait_s if position == 0 else 0.0,
+            hold_s=hold_s,
+            avoid=avoid,
+        )
+        if got.is_ok():
+            if position:
+                count(instance.metrics, "slots.other_region")
+            return got
+        if got.error.code == ResultCode.QUARANTINED:
+            return got
+        if position:
+            until = instance.clock.now() + SILENT_REFUSAL_S
+            instance.unreachable[forward.service, region] = until
+        if fault is None or fault.code == ResultCode.PEER_UNREACHABLE:
+            fault = got.error
+    if fault.code == ResultCode.PEER_UNREACHABLE:
+        fault = Fault(ResultCode.NO_BACKEND, fault.detail, 1000)
+    return Error(fault)
+
+
+def _hold_s(instance, forward):
+    """Returns the longest time for which the request may hold a slot (s)."""
+    left_s = max(0.0, forward.deadline - instance.clock.now())
+    if forward.rules.traffic_class == "download":
+        return left_s + DOWNLOAD_HOLD_S
+    return left_s + HOLD_SLACK_S
+
+
+async def _attempt(instance, forward, slot, timeout_s) -> Result:
+    """Sends the request on a slot; the slot is released on an error."""
+    started_at = instance.clock.now()
+    outcome_name, result = "cancelled", None
+    try:
+        result = await send_request(
+            instance.backends,
+            slot,
+            forward.method,
+            forward.target,
+            forward.headers,
+            forward.body,
+            timeout_s=timeout_s,
+        )
+        if result.is_ok():
+            return Ok(ForwardedAnswer(result.ok, slot, started_at))
+        outcome_name = result.error.name
+        return result
+    finally:
+        if result is None or result.is_error():
+            elapsed_ms = (instance.clock.now() - started_at) * 1000.0
+            release_slot(instance, slot, outcome_name, elapsed_ms)
+
+
+async def _attempt_with_hedge(instance, forward, slot, timeout_s) -> Result:
+    """Sends the request, and once more elsewhere when the answer is late."""
+    first = asyncio.ensure_future(_attempt(instance, forward, slot, timeout_s))
+    runs = {first}
+    winner = None
+    try:
+        await asyncio.wait(runs, timeout=forward.rules.hedge_after_ms / 1000.0)
+        if not first.done() and withdraw(budget_of(instance, forward)):
+            hold_s = _hold_s(instance, forward)
+            avoid = [slot.server_id]
+            second = await acquire_anywhere(instance, forward, hold_s, 0.0, avoid)
+            if second.is_ok():
+                count(instance.metrics, "requests.hedged")
+                left_s = forward.deadline - instance.clock.now()
+                hedge = _attempt(instance, forward, second.ok, left_s)
+                runs.add(asyncio.ensure_future(hedge))
+        winner = await _first_success(runs)
+        return winner
+    finally:
+        for run in runs:
+            run.cancel()
+        for loser in await asyncio.gather(*runs, return_exceptions=True):
+            if isinstance(loser, Result) and loser.is_ok() and loser is not winner:
+                await discard_answer(instance, loser.ok)
+
+
+async def _first_success(runs):
+    """Returns the first answer, or the last error when every run failed."""
+    waiting = set(runs)
+    while True:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        results = [run.result() for run in done]
+        for result in results:
+            if result.is_ok():
+                return result
+        if not waiting:
+            return results[-1]
+
+
+async def discard_answer(instance, forwarded):
+    """Ends an answer that nobody will read, and its slot."""
+    release_slot(instance, forwarded.slot, "cancelled", 0.0)
+    await close_answer(forwarded.answer)
+
+
+async def forward_request(instance, forward) -> Result:
+    """Gets the head of a backend server's answer, within the retry budget.
+
+    Args:
+        instance: Instance.
+        forward: Forward; its body can be sent only once unless it is bytes or
+            None.
+
+    Returns:
+        Ok with a ForwardedAnswer whose slot is still held, or Error with a
+        Fault. A request is sent again only when it did not run, or when it is
+        idempotent.
+    """
+    idempotent = forward.method in IDEMPOTENT_METHODS
+    replayable = forward.body is None or isinstance(forward.body, bytes)
+    budget = budget_of(instance, forward)
+    deposit(budget)
+    avoid, ran, fault = [], False, None
+    for attempt in range(MAX_TRIES):
+        now = instance.clock.now()
+        left_s = forward.deadline - now
+        if is_quarantined(instance.crash_log, forward.fingerprint, now):
+            return Error(_quarantine_fault(instance, forward))
+        if left_s <= 0.0:
+            break
+        wait_s = min(left_s, forward.rules.queue_ms / 1000.0)
+        hold_s = _hold_s(instance, forward)
+        got = await acquire_anywhere(instance, forward, hold_s, wait_s, avoid)
+        if got.is_error():
+            fault = fault if ran else got.error
+            break
+        left_s = forward.deadline - instance.clock.now()
+        timeout_s = left_s
+        if idempotent and attempt == 0 and forward.rules.traffic_class == "lookup":
+            timeout_s = left_s * FIRST_TRY_SHARE
+        hedged = idempotent and forward.rules.hedge_after_ms > 0 and attempt == 0
+        send = _attempt_with_hedge if hedged else _attempt
+        result = await send(instance, forward, got.ok, timeout_s)
+        if result.is_ok():
+            return result
+        outcome = result.error
+        ran = ran or outcome.sent
+        fault = outcome.fault
+        avoid.append(got.ok.server_id)
+        may_repeat = (idempotent or not outcome.sent) and replayable
+        if not may_repeat or not withdraw(budget):
+            break
+        count(instance.metrics, "requests.retried")
+    return Error(fault or Fault(ResultCode.DEADLINE_BEFORE_RUN, "no time was left"))
+
+
+def _quarantine_fault(instance, forward):
+    """Returns the refusal of a quarantined request, with the time left."""
+    until = instance.crash_log.quarantined.get(forward.fingerprint, 0.0)
+    left_ms = int(max(0.0, until - instance.clock.now()) * 1000)
+    return Fault(ResultCode.QUARANTINED, f"fingerprint {forward.fingerprint}", left_ms)
+
+
+async def stream_answer(instance, forward, forwarded):
+    """Yields the body of an answer and ends its slot.
+
+    A download that is cut is continued from another backend server when a strong
+    validator proves that it is the same content; else the caller sees the cut.
+
+    Args:
+        instance: Instance.
+        forward: Forward.
+        forwarded: ForwardedAnswer.
+
+    Yields:
+        Chunks of at most 64 KiB.
+
+    Raises:
+        FaultError: The body was cut and could not be continued.
+    """
+    position = 0
+    current = forwarded
+    while True:
+        outcome = "cancelled"
+        try:
+            while True:
+                chunk = await _read_chunk(current.answer)
+                if chunk is None:
+                    outcome = "ok"
+                    return
+                if isinstance(chunk, Fault):
+                    outcome = "crashed"
+                    break
+                yield chunk
+                position += len(chunk)
+        finally:
+            elapsed_ms = (instance.clock.now() - current.started_at) * 1000.0
+            release_slot(instance, current.slot, outcome, elapsed_ms)
+            await close_answer(current.answer)
+        current = await _resume(instance, forward, forwarded, position, current)
+        if current is None:
+            count(instance.metrics, "answers.cut")
+            raise FaultError(chunk)
+
+
+async def _read_chunk(answer):
+    """Returns the next chunk, None at the whole end, or a Fault at a cut."""
+    try:
+        chunk = await answer.resp.content.read(CHUNK_BYTES)
+    except asyncio.CancelledError:
+        raise
+    except Exception as exc:
+        detail = f"the answer was cut: {type(exc).__name__}"
+        return Fault(ResultCode.BACKEND_FAILED, detail)
+    return chunk or None
+
+
+def _resume_range(forward, forwarded, position):
+    """Returns (first byte, entity tag) to resume from, or None."""
+    headers = {name.lower(): value for name, value in forwarded.answer.headers}
+    etag = headers.get("etag", "")
+    if (
+        forward.method != "GET"
+        or not etag.startswith('"')
+        or "content-length" not in headers
+    ):
+        return None
+    if forwarded.answer.status == 200:
+        return position, etag
+    content_range = headers.get("content-range", "")
+    first, dash, _ = content_range.removeprefix("bytes ").partition("-")
+    if forwarded.answer.status == 206 and dash and first.isdigit():
+        return int(first) + position, etag
+    return None
+
+
+async def _resume(instance, forward, forwarded, position, cut):
+    """Continues a cut download; returns a ForwardedAnswer or None."""
+    where = _resume_range(forward, forwarded, position)
+    if where is None or not withdraw(budget_of(instance, forward)):
+        return None
+    first, etag = where
+    last = first - position + int(_header(forwarded, "content-length")) - 1
+    dropped = ("range", "if-range")
+    headers = [(n, v) for n, v in forward.headers if n.lower() not in dropped]
+    headers += [("Range", f"bytes={first}-{last}"), ("If-Range", etag)]
+    again = Forward(
+        forward.service,
+        forward.rules,
+        "GET",
+        forward.target,
+        headers,
+        None,
+        forward.tenant,
+        forward.fingerprint,
+        instance.clock.now() + forward.rules.deadline_ms / 1000.0,
+    )
+    hold_s = _hold_s(instance, again)
+    got = await acquire_anywhere(instance, again, hold_s, 1.0, [cut.slot.server_id])
+    if got.is_error():
+        return None
+    result = await _attempt(
+        instance, again, got.ok, again.deadline - instance.clock.now()
+    )
+    if result.is_error():
+        return None
+    resumed = result.ok
+    same = (
+        resumed.answer.status == 206
+        and _header(resumed, "etag") == etag
+        and _header(resumed, "content-range").startswith(f"bytes {first}-{last}/")
+    )
+    if same:
+        count(instance.metrics, "downloads.resumed")
+        return resumed
+    await discard_answer(instance, resumed)
+    return None
+
+
+def _header(forwarded, name):
+    """Returns the first value of a header field of an answer, or ""."""
+    for field, value in forwarded.answer.headers:
+        if field.lower() == name:
+            return value
+    return ""
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/httpserver.py
@@ -0,0 +1,167 @@
+"""The HTTP listeners: falcon applications on uvicorn within one event loop."""
+
+import asyncio
+import contextlib
+
+import falcon
+import falcon.asgi
+import uvicorn
+from flamingolift_model import CODE_FACTS, Fault, FaultError, ResultCode
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from flamingolift_daemon.logs import logger
+from flamingolift_daemon.problems import (
+    MEDIA_TYPE,
+    problem_body,
+    problem_headers,
+    write_problem,
+)
+
+__all__ = ["EmbeddedServer", "make_app", "make_server", "track_caller"]
+
+KEEP_ALIVE_S = 75
+BACKLOG = 2048
+
+
+class ProblemProtocol(H11Protocol):
+    """HTTP protocol that answers a malformed request with a numbered problem."""
+
+    def send_400_response(self, msg):
+        """Sends the problem and closes the connection.
+
+        Args:
+            msg: Text of the server; the numbered code replaces it.
+        """
+        too_large = (
+            len(self.conn.trailing_data[0]) >= self.config.h11_max_incomplete_event_size
+        )
+        code = ResultCode.TOO_LARGE if too_large else ResultCode.BAD_REQUEST
+        fault = Fault(code, "the request head is too large" if too_large else msg)
+        body = problem_body(fault)
+        lines = [
+            f"HTTP/1.1 {CODE_FACTS[code].status} {code.name}",
+            f"content-type: {MEDIA_TYPE}",
+            f"content-length: {len(body)}",
+            "connection: close",
+        ]
+        lines += [f"{name.lower()}: {value}" for name, value in problem_headers(fault)]
+        self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self.transport.close()
+
+
+class EmbeddedServer(uvicorn.Server):
+    """uvicorn server that leaves the signals to the composition root."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Captures no signals."""
+        yield
+
+
+def make_server(app, host, port, max_header_bytes):
+    """Returns a server for one listener.
+
+    Args:
+        app: ASGI application.
+        host: IP address.
+        port: TCP port.
+        max_header_bytes: Largest request head (bytes).
+    """
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        http=ProblemProtocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=True,
+        h11_max_incomplete_event_size=max_header_bytes,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        backlog=BACKLOG,
+    )
+    return EmbeddedServer(config)
+
+
+def make_app():
+    """Returns a falcon application that answers every error with a problem."""
+    app = falcon.asgi.App()
+    app.add_error_handler(Exception, _handle_exception)
+    app.add_error_handler(falcon.HTTPError, _handle_http_error)
+    app.add_error_handler(FaultError, _handle_fault)
+    return app
+
+
+async def _handle_fault(req, resp, exc, params):
+    write_problem(resp, exc.fault)
+
+
+async def _handle_http_error(req, resp, exc, params):
+    code = ResultCode.BAD_REQUEST
+    if exc.status_code == 404:
+        code = ResultCode.NOT_FOUND
+    elif exc.status_code == 413:
+        code = ResultCode.TOO_LARGE
+    write_problem(resp, Fault(code, exc.title or ""))
+
+
+async def _handle_exception(req, resp, exc, params):
+    logger.error("unexpected_exception", exc_info=exc)
+    write_problem(resp, Fault(ResultCode.INTERNAL, type(exc).__name__))
+
+
+def track_caller(app):
+    """Wraps an ASGI application so that it learns when a caller goes away.
+
+    Args:
+        app: ASGI application. It finds the event in ``scope["caller_gone"]``.
+
+    Returns:
+        ASGI application. It also holds back "100 Continue" until the body is
+        asked for, so that a refusal costs the caller no upload.
+    """
+
+    async def tracked(scope, receive, send):
+        if scope["type"] != "http":
+            return
+        gone = scope["caller_gone"] = asyncio.Event()
+        has_body = any(
+            name in (b"content-length", b"transfer-encoding") and value != b"0"
+            for name, value in scope["headers"]
+        )
+        watcher = None if has_body else asyncio.ensure_future(_watch(receive, gone))
+        opened = False
+
+        async def tracked_receive():
+            nonlocal opened, watcher
+            if not opened:
+                opened = True
+                return {"type": "http.request", "body": b"", "more_body": has_body}
+            if watcher is not None:
+                await gone.wait()
+                return {"type": "http.disconnect"}
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                gone.set()
+            elif not event.get("more_body", False):
+                watcher = asyncio.ensure_future(_watch(receive, gone))
+            return event
+
+        try:
+            await app(scope, tracked_receive, send)
+        finally:
+            if watcher is not None:
+                watcher.cancel()
+
+    return tracked
+
+
+async def _watch(receive, gone):
+    """Sets the event when the caller's connection is closed."""
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            gone.set()
+            return
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/load.py
@@ -0,0 +1,73 @@
+"""Load that this instance's callers cause, by service and origin region."""
+
+from flamingolift_decisions.pool import pool_capacity
+from flamingolift_model.plan import ServiceLoad
+
+__all__ = ["LoadMeter", "note_busy", "sample_load"]
+
+SMOOTHING = 0.3
+"""Weight of the newest interval in the smoothed demand."""
+MIN_DEMAND = 1e-3
+
+
+class LoadMeter:
+    """Busy time of the slots that one origin's callers used.
+
+    Attributes:
+        busy_s: Busy time since the last sample (s).
+        demand: Smoothed number of busy slots.
+    """
+
+    __slots__ = ("busy_s", "demand")
+
+    def __init__(self):
+        self.busy_s = 0.0
+        self.demand = 0.0
+
+
+def note_busy(instance, service, origin, busy_s):
+    """Accounts for the time that one request kept a slot busy.
+
+    Args:
+        instance: Instance.
+        service: Service name.
+        origin: Caller's origin region.
+        busy_s: Time on a backend server (s).
+    """
+    meter = instance.load.get((service, origin))
+    if meter is None:
+        meter = instance.load[service, origin] = LoadMeter()
+    meter.busy_s += busy_s
+
+
+def sample_load(instance, interval_s):
+    """Closes an interval and returns the load of each service.
+
+    Args:
+        instance: Instance.
+        interval_s: Time since the last sample (s).
+
+    Returns:
+        List of ServiceLoad; a dispatcher adds the capacity of its pools.
+    """
+    demand = {}
+    for (service, origin), meter in instance.load.items():
+        fresh = meter.busy_s / interval_s
+        meter.busy_s = 0.0
+        meter.demand += SMOOTHING * (fresh - meter.demand)
+        if meter.demand > MIN_DEMAND:
+            demand.setdefault(service, {})[origin] = meter.demand
+    now = instance.clock.now()
+    capacity = {
+        service: pool_capacity(pool, now)
+        for (service, _), pool in instance.pools.items()
+    }
+    return [
+        ServiceLoad(
+            service=service,
+            demand=demand.get(service, {}),
+            capacity=float(capacity.get(service, 0)),
+            is_dispatcher=service in capacity,
+        )
+        for service in sorted(set(demand) | set(capacity))
+    ]
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -0,0 +1,447 @@
+"""Streams between instances: one task for each stream and each kept peer."""
+
+import asyncio
+import contextlib
+import itertools
+import secrets
+
+from expression import Error, Ok, Result
+from flamingolift_decisions.documents import versions
+from flamingolift_decisions.membership import (
+    changes_since,
+    note_contact,
+    note_silence,
+)
+from flamingolift_decisions.topology import desired_peers
+from flamingolift_model import Fault, ResultCode
+from flamingolift_model.peer import Heartbeat, Hello, Refusal
+from flamingolift_wire.codec import decode_message, encode_message
+from flamingolift_wire.frames import (
+    MAX_FRAME_BYTES,
+    MAX_HELLO_BYTES,
+    FrameState,
+    encode_frame,
+    read_frame,
+)
+from flamingolift_wire.keys import make_tag, session_key, tags_equal
+
+from flamingolift_daemon.instance import refresh_view, start_task
+from flamingolift_daemon.logs import logger
+from flamingolift_daemon.metrics import count
+
+__all__ = [
+    "PeerLink",
+    "accept_peer",
+    "announce",
+    "broadcast",
+    "call_peer",
+    "close_link",
+    "get_link",
+    "keep_peers",
+    "run_heartbeats",
+    "send_message",
+]
+
+MAX_WRITE_BACKLOG = 4_194_304
+"""Unsent bytes on a stream after which the peer counts as stuck."""
+MEMBERS_PER_HEARTBEAT = 64
+HANDSHAKE_TIMEOUT_S = 3.0
+AVOID_S = 2.0
+"""Time for which a peer that did not answer is passed over (s)."""
+
+
+class PeerLink:
+    """One authenticated stream to another instance.
+
+    Attributes:
+        remote_id: Instance at the other end.
+        remote_incarnation: Its incarnation.
+        reader: asyncio.StreamReader.
+        writer: asyncio.StreamWriter.
+        sending: FrameState of the sending direction.
+        receiving: FrameState of the receiving direction.
+        calls: Map of call id to the future of its answer.
+        call_ids: Iterator of call ids.
+        cursor: Membership sequence that the peer was told.
+        remote_versions: Document numbers that the peer announced.
+        heard_at: Time of its last frame (s, monotonic).
+        closed: Future that completes when the stream is closed.
+    """
+
+    __slots__ = (
+        "call_ids",
+        "calls",
+        "closed",
+        "cursor",
+        "heard_at",
+        "reader",
+        "receiving",
+        "remote_id",
+        "remote_incarnation",
+        "remote_versions",
+        "sending",
+        "writer",
+    )
+
+    def __init__(self, hello, reader, writer, sending, receiving, now):
+        self.remote_id = hello.instance_id
+        self.remote_incarnation = hello.incarnation
+        self.reader = reader
+        self.writer = writer
+        self.sending = sending
+        self.receiving = receiving
+        self.calls = {}
+        self.call_ids = itertools.count(1)
+        self.cursor = 0
+        self.remote_versions = {}
+        self.heard_at = now
+        self.closed = asyncio.get_running_loop().create_future()
+
+
+def send_message(link, message, call_id=0, reply_to=0):
+    """Sends a message without waiting.
+
+    Args:
+        link: PeerLink.
+        message: Message of the schema.
+        call_id: Id under which an answer is awaited; 0 for none.
+        reply_to: Id of the call that this answers; 0 for none.
+
+    Returns:
+        Whether the message was handed to the stream.
+    """
+    if link.closed.done():
+        return False
+    if link.writer.transport.get_write_buffer_size() > MAX_WRITE_BACKLOG:
+        close_link(link)
+        return False
+    body = encode_message(message, call_id, reply_to)
+    link.writer.write(encode_frame(link.sending, body))
+    return True
+
+
+def close_link(link):
+    """Closes a stream and fails the calls that wait on it."""
+    if link.closed.done():
+        return
+    link.closed.set_result(None)
+    link.writer.transport.abort()
+    for future in link.calls.values():
+        if not future.done():
+            future.set_result(
+                Error(Fault(ResultCode.PEER_UNREACHABLE, "the stream broke"))
+            )
+    link.calls.clear()
+
+
+async def call_peer(link, message, timeout_s) -> Result:
+    """Sends a message and waits for its answer.
+
+    Args:
+        link: PeerLink.
+        message: Message of the schema.
+        timeout_s: Longest wait (s).
+
+    Returns:
+        Ok with the answering message; Error with a Fault when the peer refused,
+        or with PEER_UNREACHABLE when no answer came. A late answer is dropped:
+        its call id is never used again on the stream.
+    """
+    call_id = next(link.call_ids)
+    future = asyncio.get_running_loop().create_future()
+    link.calls[call_id] = future
+    if not send_message(link, message, call_id=call_id):
+        link.calls.pop(call_id, None)
+        return Error(Fault(ResultCode.PEER_UNREACHABLE, "the stream is closed"))
+    try:
+        answer = await asyncio.wait_for(future, timeout_s)
+    except TimeoutError:
+        return Error(Fault(ResultCode.PEER_UNREACHABLE, "no answer in time"))
+    finally:
+        link.calls.pop(call_id, None)
+    if isinstance(answer, Result):
+        return answer
+    if isinstance(answer, Refusal):
+        return Error(Fault(answer.code, answer.detail, answer.retry_after_ms))
+    return Ok(answer)
+
+
+def _make_hello(instance, key_id):
+    return Hello(
+        instance_id=instance.cfg.instance_id,
+        incarnation=instance.incarnation,
+        key_id=key_id,
+        nonce=secrets.token_bytes(16),
+    )
+
+
+def _write_hello(writer, key, direction, hello, prefix=b""):
+    """Sends a hello; its tag also covers the other side's nonce."""
+    body = encode_message(hello)
+    tag = make_tag(key, b"hello", direction, prefix, body)
+    writer.write(len(body).to_bytes(4, "big") + tag + body)
+
+
+async def _read_hello(instance, reader, direction, prefix=b"") -> Result:
+    """Reads and verifies the other side's hello."""
+    state = FrameState(b"", direction, MAX_HELLO_BYTES)
+    frame = await read_frame(reader, state)
+    if frame.is_error():
+        return frame
+    body, tag = frame.ok
+    decoded = decode_message(body)
+    if decoded.is_error():
+        return decoded
+    hello = decoded.ok[0]
+    if not isinstance(hello, Hello):
+        return Error(Fault(ResultCode.PEER_FRAME, "the first message is not a hello"))
+    key = instance.peer_keys.keys.get(hello.key_id)
+    if key is None or not tags_equal(
+        make_tag(key, b"hello", direction, prefix, body), tag
+    ):
+        return Error(Fault(ResultCode.PEER_AUTH, "a hello's tag does not verify"))
+    return Ok((hello, key))
+
+
+async def _dial(instance, entry) -> Result:
+    """Opens a stream to an instance; Ok holds the PeerLink."""
+    cfg = instance.cfg
+    writer = None
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(entry.host, entry.peer_port, limit=MAX_FRAME_BYTES),
+            cfg.connect_timeout_s,
+        )
+        key = instance.peer_keys.keys[instance.peer_keys.signing_id]
+        mine = _make_hello(instance, instance.peer_keys.signing_id)
+        _write_hello(writer, key, b"c", mine)
+        answer = await asyncio.wait_for(
+            _read_hello(instance, reader, b"s", mine.nonce), HANDSHAKE_TIMEOUT_S
+        )
+    except (TimeoutError, OSError, EOFError) as exc:
+        if writer is not None:
+            writer.transport.abort()
+        detail = f"{entry.instance_id}: {type(exc).__name__}"
+        return Error(Fault(ResultCode.PEER_UNREACHABLE, detail))
+    if answer.is_error():
+        writer.transport.abort()
+        logger.warning("peer_handshake_failed", extra={"peer": entry.instance_id})
+        return answer
+    hello, key = answer.ok
+    shared = session_key(key, mine.nonce, hello.nonce)
+    return Ok(_make_link(instance, hello, reader, writer, shared, b"c", b"s"))
+
+
+def _make_link(instance, hello, reader, writer, shared, send_mark, receive_mark):
+    link = PeerLink(
+        hello,
+        reader,
+        writer,
+        FrameState(shared, send_mark, MAX_FRAME_BYTES),
+        FrameState(shared, receive_mark, MAX_FRAME_BYTES),
+        instance.clock.now(),
+    )
+    former = instance.links.get(link.remote_id)
+    if former is None or former.remote_incarnation <= link.remote_incarnation:
+        instance.links[link.remote_id] = link
+    if note_contact(
+        instance.view, link.remote_id, link.remote_incarnation, link.heard_at
+    ):
+        refresh_view(instance)
+    _send_heartbeat(instance, link)
+    return link
+
+
+async def accept_peer(instance, reader, writer):
+    """Serves a stream that another instance opened, until it closes.
+
+    Args:
+        instance: Instance.
+        reader: asyncio.StreamReader.
+        writer: asyncio.StreamWriter.
+    """
+    try:
+        opened = await asyncio.wait_for(
+            _read_hello(instance, reader, b"c"), HANDSHAKE_TIMEOUT_S
+        )
+    except (TimeoutError, OSError, EOFError):
+        writer.transport.abort()
+        return
+    if opened.is_error():
+        count(instance.metrics, f"peer.refused.{opened.error.code.value}")
+        writer.write(_refusal_bytes(opened.error))
+        with contextlib.suppress(OSError):
+            await writer.drain()
+        writer.close()
+        return
+    hello, key = opened.ok
+    mine = _make_hello(instance, hello.key_id)
+    _write_hello(writer, key, b"s", mine, hello.nonce)
+    shared = session_key(key, hello.nonce, mine.nonce)
+    link = _make_link(instance, hello, reader, writer, shared, b"s", b"c")
+    await run_link(instance, link)
+
+
+def _refusal_bytes(fault):
+    """Returns an unauthenticated frame that tells a stranger the result code."""
+    body = encode_message(Refusal(code=fault.code, detail=fault.detail[:200]))
+    return len(body).to_bytes(4, "big") + bytes(16) + body
+
+
+async def run_link(instance, link):
+    """Reads a stream until it closes, handling one message after the other.
+
+    Args:
+        instance: Instance.
+        link: PeerLink.
+    """
+    try:
+        while not link.closed.done():
+            frame = await read_frame(link.reader, link.receiving)
+            if frame.is_error():
+                _report_bad_frame(instance, link, frame.error)
+                break
+            decoded = decode_message(frame.ok[0])
+            if decoded.is_error():
+                _report_bad_frame(instance, link, decoded.error)
+                break
+            link.heard_at = instance.clock.now()
+            await _dispatch(instance, link, *decoded.ok)
+    except (OSError, EOFError):
+        pass
+    finally:
+        close_link(link)
+        if instance.links.get(link.remote_id) is link:
+            del instance.links[link.remote_id]
+
+
+def _report_bad_frame(instance, link, fault):
+    count(instance.metrics, f"peer.refused.{fault.code.value}")
+    logger.warning(
+        "peer_stream_refused",
+        extra={"peer": link.remote_id, "code": fault.code, "detail": fault.detail},
+    )
+
+
+async def _dispatch(instance, link, message, call_id, reply_to):
+    """Hands a message to the call that waits for it or to its handler."""
+    if reply_to:
+        future = link.calls.pop(reply_to, None)
+        if future is None or future.done():
+            count(instance.metrics, "peer.late_answers")
+        else:
+            future.set_result(message)
+        return
+    handler = instance.handlers.get(type(message))
+    if handler is None:
+        return
+    answer = handler(instance, link, message, call_id)
+    if asyncio.iscoroutine(answer):
+        start_task(instance, answer)
+    elif answer is not None and call_id:
+        send_message(link, answer, reply_to=call_id)
+
+
+async def get_link(instance, entry) -> Result:
+    """Returns an open stream to an instance, opening one if need be.
+
+    Args:
+        instance: Instance.
+        entry: InstanceEntry of the peer.
+
+    Returns:
+        Ok with a PeerLink, or Error with PEER_UNREACHABLE or PEER_AUTH.
+    """
+    name = entry.instance_id
+    link = instance.links.get(name)
+    if link is not None and not link.closed.done():
+        return Ok(link)
+    pending = instance.dialing.get(name)
+    if pending is None:
+        pending = start_task(instance, _open_link(instance, entry))
+        instance.dialing[name] = pending
+    return await asyncio.shield(pending)
+
+
+async def _open_link(instance, entry):
+    try:
+        dialed = await _dial(instance, entry)
+    finally:
+        instance.dialing.pop(entry.instance_id, None)
+    if dialed.is_ok():
+        start_task(instance, run_link(instance, dialed.ok))
+    else:
+        instance.unreachable[entry.instance_id] = instance.clock.now() + AVOID_S
+    return dialed
+
+
+def _send_heartbeat(instance, link):
+    states, cursor = changes_since(instance.view, link.cursor, MEMBERS_PER_HEARTBEAT)
+    beat = Heartbeat(versions=versions(instance.shelf), members=states)
+    if send_message(link, beat):
+        link.cursor = cursor
+
+
+def broadcast(instance, message, except_link=None):
+    """Sends a message on every open stream but one."""
+    for link in list(instance.links.values()):
+        if link is not except_link:
+            send_message(link, message)
+
+
+def announce(instance):
+    """Sends a heartbeat at once on every stream, after a change."""
+    for link in list(instance.links.values()):
+        _send_heartbeat(instance, link)
+
+
+async def run_heartbeats(instance):
+    """Sends heartbeats and closes the streams that went silent, for ever."""
+    cfg = instance.cfg
+    while True:
+        await asyncio.sleep(cfg.heartbeat_interval_s)
+        now = instance.clock.now()
+        for link in list(instance.links.values()):
+            if now - link.heard_at > cfg.heartbeat_timeout_s:
+                count(instance.metrics, "peer.silent_streams")
+                close_link(link)
+                continue
+            _send_heartbeat(instance, link)
+
+
+async def keep_peers(instance):
+    """Keeps one task for each peer that the topology asks for, for ever."""
+    kept = {}
+    cfg = instance.cfg
+    while True:
+        changed = instance.changed
+        me = instance.view.entries.get(cfg.instance_id)
+        wanted = set()
+        if me is not None:
+            everyone = {**instance.serving, cfg.instance_id: me}
+            wanted = desired_peers(everyone, me, cfg.relays_per_domain, cfg.ring_peers)
+        for name in set(kept) - wanted:
+            kept.pop(name).cancel()
+        for name in wanted - set(kept):
+            kept[name] = start_task(instance, _keep_peer(instance, name))
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(changed.wait(), cfg.heartbeat_interval_s * 5)
+
+
+async def _keep_peer(instance, name):
+    """Keeps a stream to one peer open and reports it when that fails."""
+    interval_s = instance.cfg.heartbeat_interval_s
+    while True:
+        entry = instance.view.entries.get(name)
+        if entry is None:
+            return
+        known = instance.view.members.get(name)
+        incarnation = known.incarnation if known else 0
+        opened = await get_link(instance, entry)
+        if opened.is_ok():
+            await asyncio.wait([opened.ok.closed])
+            continue
+        if note_silence(instance.view, name, incarnation, instance.clock.now()):
+            logger.info("peer_suspected", extra={"peer": name})
+            announce(instance)
+        await asyncio.sleep(interval_s)
--- /dev/null
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -0,0 +1,256 @@
+"""Composition root: makes the parts of one instance and runs them."""
+
+import asyncio
+import contextlib
+import signal
+
+from flamingolift_decisions.membership import set_self_leaving
+from flamingolift_model import peer
+from flamingolift_model.plan import InstanceEntry
+from flamingolift_wire.frames import MAX_FRAME_BYTES
+from flamingolift_wire.keys import parse_key_ring
+from flamingolift_wire.storeclient import StoreClient
+
+from flamingolift_daemon import (
+    bookinghome,
+    dispatching,
+    distribution,
+    peerlinks,
+    relay,
+)
+from flamingolift_daemon.backendclient import BackendClients, close_clients
+from flamingolift_daemon.callerapi import make_caller_app
+from flamingolift_daemon.clock import Clock
+from flamingolift_daemon.httpserver import make_server
+from flamingolift_daemon.instance import (
+    Instance,
+    refresh_view,
+    self_entry,
+    start_task,
+)
+from flamingolift_daemon.logs import logger
+from flamingolift_daemon.metrics import Metrics, count, flush_metrics
+from flamingolift_daemon.operatorapi import make_operator_app
+from flamingolift_daemon.planning import run_planner
+from flamingolift_daemon.probing import run_probes
+
+__all__ = ["make_instance", "run_instance"]
+
+FLUSH_INTERVAL_S = 1.0
+STOP_POLL_S = 0.05
+SEED_RETRY_S = 1.0
+RESTART_DELAY_S = 1.0
+
+
+def make_instance(cfg):
+    """Returns the Instance for checked settings.
+
+    Args:
+        cfg: Settings whose key rings parse.
+    """
+    metrics = Metrics(cfg.statsd_host, cfg.statsd_port)
+    instance = Instance(
+        cfg,
+        Clock(),
+        metrics,
+        parse_key_ring(cfg.peer_keys).ok,
+        parse_key_ring(cfg.ticket_keys).ok,
+        parse_key_ring(cfg.operator_keys).ok,
+        StoreClient(cfg.store_url, cfg.store_timeout_s),
+        BackendClients(cfg.connect_timeout_s, cfg.idle_read_timeout_s, metrics),
+    )
+    instance.handlers = {
+        peer.Heartbeat: distribution.handle_heartbeat,
+        peer.Pull: distribution.handle_pull,
+        peer.Document: distribution.handle_document,
+        peer.Acquire: dispatching.handle_acquire,
+        peer.Release: dispatching.handle_release,
+        peer.Holdings: dispatching.handle_holdings,
+        peer.Quarantine: dispatching.handle_quarantine,
+        peer.Booking: bookinghome.handle_booking,
+        peer.Claim: bookinghome.handle_claim,
+        peer.Completion: bookinghome.handle_completion,
+        peer.Resolve: bookinghome.handle_resolve,
+        peer.LoadSample: relay.handle_load_sample,
+    }
+    # Until the live list names it, an instance knows at least itself.
+    instance.view.entries[cfg.instance_id] = self_entry(instance)
+    refresh_view(instance)
+    return instance
+
+
+async def _serve_peers(instance):
+    """Accepts streams from peers, each in a task of its own, for ever."""
+
+    async def accept(reader, writer):
+        task = asyncio.current_task()
+        instance.tasks.add(task)
+        task.add_done_callback(instance.tasks.discard)
+        await peerlinks.accept_peer(instance, reader, writer)
+
+    cfg = instance.cfg
+    server = await asyncio.start_server(
+        accept, cfg.host, cfg.peer_port, limit=MAX_FRAME_BYTES
+    )
+    async with server:
+        await server.serve_forever()
+
+
+async def _greet_seeds(instance):
+    """Opens streams to the seeds until a first document has arrived."""
+    seeds = [s.strip() for s in instance.cfg.peer_seeds.split(",") if s.strip()]
+    while instance.live_list is None or instance.policy is None:
+        for seed in seeds:
+            host, _, port = seed.rpartition(":")
+            entry = InstanceEntry(
+                instance_id=f"seed {seed}",
+                region="-",
+                failure_domain="-",
+                host=host,
+                caller_port=1,
+                operator_port=1,
+                peer_port=int(port),
+            )
+            await peerlinks.get_link(instance, entry)
+        await asyncio.sleep(SEED_RETRY_S)
+
+
+async def _flush_for_ever(instance):
+    """Sends the counters to statsd."""
+    while True:
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+        flush_metrics(instance.metrics)
+
+
+def _start_background(instance):
+    """Starts the tasks that run for the life of the instance."""
+    for run in (
+        _serve_peers,
+        _greet_seeds,
+        _flush_for_ever,
+        bookinghome.run_record_expiry,
+        dispatching.run_pools,
+        _watch_membership,
+        distribution.run_shifts,
+        peerlinks.keep_peers,
+        peerlinks.run_heartbeats,
+        relay.run_live_watch,
+        relay.run_reports,
+        relay.run_store_watch,
+        run_planner,
+        run_probes,
+    ):
+        start_task(instance, _supervise(instance, run))
+
+
+async def _watch_membership(instance):
+    """Runs the membership; the slots of the dead are taken back."""
+    await distribution.run_membership(instance, dispatching.release_holders)
+
+
+async def _supervise(instance, run):
+    """Runs a background function, and again when an exception ends it."""
+    while True:
+        try:
+            return await run(instance)
+        except Exception as exc:
+            count(instance.metrics, "tasks.failed")
+            logger.error(
+                "background_task_failed", extra={"task": run.__name__}, exc_info=exc
+            )
+            await asyncio.sleep(RESTART_DELAY_S)
+
+
+async def run_instance(cfg):
+    """Runs one instance until it is told to stop.
+
+    Args:
+        cfg: Checked Settings.
+
+    Returns:
+        Number of requests that were cut at the end of the grace period.
+    """
+    instance = make_instance(cfg)
+    servers = [
+        make_server(
+            make_caller_app(instance), cfg.host, cfg.caller_port, cfg.max_header_bytes
+        ),
+        make_server(
+            make_operator_app(instance),
+            cfg.host,
+            cfg.operator_port,
+            cfg.max_header_bytes,
+        ),
+    ]
+    cut_short = asyncio.Event()
+    _catch_signals(instance, cut_short)
+    _start_background(instance)
+    serving = [asyncio.ensure_future(server.serve()) for server in servers]
+    logger.info("instance_started", extra={"incarnation": instance.incarnation})
+    stopping = asyncio.ensure_future(instance.stopping.wait())
+    await asyncio.wait({*serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    cut = await _drain(instance, cut_short)
+    for server in servers:
+        server.should_exit = True
+        server.force_exit = True
+    await asyncio.wait(serving, timeout=2.0)
+    await _close(instance)
+    logger.info("instance_stopped", extra={"cut": cut})
+    return cut
+
+
+def _catch_signals(instance, cut_short):
+    """Stops gracefully on the first signal and at once on the second."""
+
+    def stop():
+        if instance.stopping.is_set():
+            cut_short.set()
+        instance.stopping.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+
+
+async def _drain(instance, cut_short):
+    """Announces the stop, serves cached look-ups, then lets requests end.
+
+    Returns:
+        Number of requests still in flight when the grace period ended.
+    """
+    logger.info("drain_started", extra={"in_flight": instance.in_flight})
+    set_self_leaving(instance.view, instance.clock.now())
+    refresh_view(instance)
+    peerlinks.announce(instance)
+    ends_at = instance.clock.now() + instance.cfg.drain_grace_s
+    ttl_s = _longest_ttl_s(instance)
+    refuse_at = min(ends_at, instance.clock.now() + ttl_s)
+    while not cut_short.is_set():
+        now = instance.clock.now()
+        instance.refusing = now >= refuse_at
+        if now >= ends_at or (instance.refusing and instance.in_flight == 0):
+            break
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(cut_short.wait(), STOP_POLL_S)
+    instance.refusing = True
+    return instance.in_flight
+
+
+def _longest_ttl_s(instance):
+    """Returns the longest time for which callers may cache a look-up (s)."""
+    if instance.policy is None:
+        return 0.0
+    return max(s.lookup_ttl_s for s in instance.policy.services.values())
+
+
+async def _close(instance):
+    """Cancels the background tasks and closes the connections."""
+    for link in list(instance.links.values()):
+        peerlinks.close_link(link)
+    tasks = [t for t in instance.tasks if t is not asyncio.current_task()]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await close_clients(instance.backends)
+    await instance.store.session.close()
+    flush_metrics(instance.metrics)
--- /dev/null
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -0,0 +1,23 @@
+"""Decisions of flamingolift, free of I/O and of any encoding.
+
+The modules work on plain slotted classes and on times passed in as arguments, so
+that another front end can use them unchanged.
+"""
+
+__all__ = [
+    "bookings",
+    "budget",
+    "documents",
+    "exceptions",
+    "fairness",
+    "hashing",
+    "membership",
+    "planner",
+    "policycheck",
+    "pool",
+    "quarantine",
+    "servers",
+    "shifts",
+    "steering",
+    "topology",
+]
--- /dev/null
+++ b/packages/decisions/src/flamingolift_decisions/hashing.py
@@ -0,0 +1,93 @@
+"""Stateless hashing of keys to names."""
+
+import math
+
+import xxhash
+
+__all__ = [
+    "rendezvous_order",
+    "unit_hash",
+    "weighted_choice",
+    "weighted_order",
+]
+
+_HASH_SPAN = 2.0**64
+
+
+def unit_hash(*parts):
+    """Hashes strings to a number in the open interval (0, 1).
+
+    Args:
+        *parts: Strings; their order matters.
+
+    Returns:
+        A float that is the same on every machine and in every process.
+
+    Examples:
+        >>> 0.0 < unit_hash("timetable", "10.1.2.0/24") < 1.0
+        True
+    """
+    digest = xxhash.xxh3_64_intdigest("\x00".join(parts).encode())
+    return (digest + 0.5) / _HASH_SPAN
+
+
+def rendezvous_order(key, names):
+    """Orders names by their rendezvous hash for a key.
+
+    Args:
+        key: String to place.
+        names: Iterable of distinct strings.
+
+    Returns:
+        List of the names, the preferred one first. Removing a name leaves the
+        order of the others unchanged.
+
+    Notes:
+        Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+        Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+    """
+    return sorted(names, key=lambda name: (-unit_hash(key, name), name))
+
+
+def _arrival(key, name, weight):
+    return -math.log(unit_hash(key, name)) / weight
+
+
+def weighted_choice(key, weights):
+    """Picks a name with a probability in proportion to its weight.
+
+    Args:
+        key: String to place.
+        weights: Map of name to a weight of at least zero.
+
+    Returns:
+        The name, or None when no weight is positive.
+
+    Notes:
+        Each name has an exponential arrival time with its weight as the rate
+        and the first arrival wins, so that a small change of weights moves few
+        keys; `shifts.moved_fraction` says how many. Schindelhauer and Schomaker,
+        "Weighted Distributed Hash Tables", SPAA 2005 (logarithmic method).
+    """
+    best_name, best_time = None, math.inf
+    for name, weight in weights.items():
+        if weight <= 0.0:
+            continue
+        time = _arrival(key, name, weight)
+        if time < best_time:
+            best_name, best_time = name, time
+    return best_name
+
+
+def weighted_order(key, weights):
+    """Orders the names of positive weight by preference for a key.
+
+    Args:
+        key: String to place.
+        weights: Map of name to a weight of at least zero.
+
+    Returns:
+        List of names; the first one is `weighted_choice(key, weights)`.
+    """
+    positive = [name for name, weight in weights.items() if weight > 0.0]
+    return sorted(positive, key=lambda name: _arrival(key, name, weights[name]))
--- /dev/null
+++ b/packages/decisions/src/flamingolift_decisions/steering.py
@@ -0,0 +1,215 @@
+"""Which site and instance a caller should use."""
+
+import ipaddress
+
+from expression import Error, Ok, Result
+from flamingolift_model import Fault, ResultCode
+
+from flamingolift_decisions.hashing import (
+    rendezvous_order,
+    unit_hash,
+    weighted_order,
+)
+
+__all__ = [
+    "BlockTable",
+    "Direction",
+    "block_of",
+    "choose_instance",
+    "choose_witness",
+    "origin_of",
+    "steer",
+]
+
+UNKNOWN_ORIGIN = "unknown"
+"""Origin region of a block that no region claims."""
+
+IPV4_BLOCK_BITS = 24
+IPV6_BLOCK_BITS = 48
+
+EVACUATION_RETRY_MS = 5000
+
+
+def block_of(address):
+    """Returns the block of an address, the unit in which callers are steered.
+
+    Args:
+        address: IP address, or a CIDR prefix, as text.
+
+    Returns:
+        The enclosing /24 (IPv4) or /48 (IPv6) prefix as text.
+
+    Raises:
+        ValueError: The text is neither an address nor a prefix.
+    """
+    network = ipaddress.ip_network(address, strict=False)
+    bits = IPV4_BLOCK_BITS if network.version == 4 else IPV6_BLOCK_BITS
+    if network.prefixlen > bits:
+        network = network.supernet(new_prefix=bits)
+    return str(network)
+
+
+class BlockTable:
+    """Longest-prefix table from callers' blocks to regions.
+
+    Attributes:
+        regions_by_prefix: Map of (IP version, prefix length) to a map of the
+            prefix's leading bits to the region.
+        lengths: Map of IP version to the prefix lengths in use, longest first.
+    """
+
+    __slots__ = ("lengths", "regions_by_prefix")
+
+    def __init__(self, regions):
+        self.regions_by_prefix = {}
+        for region in regions:
+            for block in region.blocks:
+                network = ipaddress.ip_network(block, strict=False)
+                width = network.max_prefixlen
+                bits = int(network.network_address) >> (width - network.prefixlen)
+                table = self.regions_by_prefix.setdefault(
+                    (network.version, network.prefixlen), {}
+                )
+                table[bits] = region.name
+        self.lengths = {
+            version: sorted(
+                (n for v, n in self.regions_by_prefix if v == version), reverse=True
+            )
+            for version in (4, 6)
+        }
+
+
+def origin_of(table, block):
+    """Returns the region nearest to a block by longest prefix match.
+
+    Args:
+        table: BlockTable of the policy in force.
+        block: Block as `block_of` returns it.
+
+    Returns:
+        Region name, or "unknown" when no region claims the block.
+    """
+    address, _, _ = block.partition("/")
+    parsed = ipaddress.ip_address(address)
+    value, width = int(parsed), parsed.max_prefixlen
+    for length in table.lengths[parsed.version]:
+        prefixes = table.regions_by_prefix[parsed.version, length]
+        region = prefixes.get(value >> (width - length))
+        if region is not None:
+            return region
+    return UNKNOWN_ORIGIN
+
+
+class Direction:
+    """Where a caller is sent.
+
+    Attributes:
+        site: Name of the site.
+        instance: InstanceEntry of the instance.
+        evacuated: Whether the first choice was lost and another site took over.
+    """
+
+    __slots__ = ("evacuated", "instance", "site")
+
+    def __init__(self, site, instance, evacuated):
+        self.site = site
+        self.instance = instance
+        self.evacuated = evacuated
+
+
+def choose_instance(service, block, instances):
+    """Picks an instance of a site for a block.
+
+    Args:
+        service: Service name.
+        block: Caller's block.
+        instances: Non-empty list of InstanceEntry of the site.
+
+    Returns:
+        InstanceEntry; the same on every node that has the same list.
+    """
+    by_id = {entry.instance_id: entry for entry in instances}
+    return by_id[rendezvous_order(f"{service}|{block}", by_id)[0]]
+
+
+def choose_witness(home, instances):
+    """Picks the witness for bookings of a home instance.
+
+    Args:
+        home: InstanceEntry that runs the bookings.
+        instances: List of InstanceEntry that serve.
+
+    Returns:
+        InstanceEntry in another failure domain, in the home's region where one
+        is there; None when the home is alone.
+    """
+    others = [e for e in instances if e.instance_id != home.instance_id]
+    if not others:
+        return None
+
+    def distance(entry):
+        same_region = entry.region == home.region
+        same_domain = entry.failure_domain == home.failure_domain
+        return (same_domain, not same_region)
+
+    nearest = min(distance(entry) for entry in others)
+    by_id = {e.instance_id: e for e in others if distance(e) == nearest}
+    return by_id[rendezvous_order(f"witness|{home.instance_id}", by_id)[0]]
+
+
+def steer(rows, grants, instances_by_site, service, origin, block) -> Result:
+    """Chooses the site and the instance for a caller.
+
+    Args:
+        rows: Rows in force: service to origin region to site to weight.
+        grants: Service to lost region to the share of its callers that other
+            regions granted headroom for.
+        instances_by_site: Map of site to the InstanceEntry list that serves.
+        service: Service name.
+        origin: Caller's origin region.
+        block: Caller's block.
+
+    Returns:
+        Ok with a Direction. Error with REGION_FULL when the caller's site is
+        lost with its region and the granted headroom is used up, and with
+        NO_BACKEND when no site is left.
+
+    Notes:
+        A lost site's callers go to their next choice by weighted rendezvous, so
+        that callers of other sites stay where they are. When a whole region is
+        lost, a fixed share of its blocks is taken, by hash, and the others are
+        refused: the same blocks on every node.
+    """
+    by_origin = rows.get(service, {})
+    weights = by_origin.get(origin) or by_origin.get(UNKNOWN_ORIGIN) or {}
+    order = weighted_order(f"{service}|{block}", weights)
+    served = [site for site in order if instances_by_site.get(site)]
+    if not served:
+        served = rendezvous_order(block, [s for s in instances_by_site if s])
+    if not served:
+        return Error(Fault(ResultCode.NO_BACKEND, f"no site serves {service}"))
+    site = served[0]
+    evacuated = bool(order) and order[0] != site
+    if evacuated and not _is_granted(grants, service, origin, block, instances_by_site):
+        return Error(
+            Fault(
+                ResultCode.REGION_FULL,
+                f"region {origin} is lost and its granted headroom is in use",
+                EVACUATION_RETRY_MS,
+            )
+        )
+    instance = choose_instance(service, block, instances_by_site[site])
+    return Ok(Direction(site, instance, evacuated))
+
+
+def _is_granted(grants, service, origin, block, instances_by_site):
+    """Returns whether a block may leave its lost region."""
+    region_lives = any(
+        entry.region == origin
+        for entries in instances_by_site.values()
+        for entry in entries
+    )
+    if region_lives:
+        return True
+    share = grants.get(service, {}).get(origin, 1.0)
+    return unit_hash("evacuation", service, block) < share
--- /dev/null
+++ b/packages/wire/src/flamingolift_wire/__init__.py
@@ -0,0 +1,28 @@
+"""Encoding between processes: frames, keys, idempotency keys, policy text."""
+
+from flamingolift_wire.codec import (
+    decode_document,
+    decode_message,
+    encode_document,
+    encode_message,
+)
+from flamingolift_wire.frames import FrameState, encode_frame, read_frame
+from flamingolift_wire.idempotency import issue_key, parse_key
+from flamingolift_wire.keys import KeyRing, parse_key_ring
+from flamingolift_wire.policytext import TextFault, read_policy
+
+__all__ = [
+    "FrameState",
+    "KeyRing",
+    "TextFault",
+    "decode_document",
+    "decode_message",
+    "encode_document",
+    "encode_frame",
+    "encode_message",
+    "issue_key",
+    "parse_key",
+    "parse_key_ring",
+    "read_frame",
+    "read_policy",
+]
--- /dev/null
+++ b/packages/wire/src/flamingolift_wire/codec.py
@@ -0,0 +1,96 @@
+"""Messages and documents as msgpack, with bounds checked before allocation."""
+
+import msgpack
+from expression import Error, Ok, Result
+from flamingolift_model import Fault, ResultCode, from_plain, to_plain
+from flamingolift_model.peer import MESSAGES_BY_TAG
+
+__all__ = [
+    "MAX_DOCUMENT_BYTES",
+    "decode_document",
+    "decode_message",
+    "encode_document",
+    "encode_message",
+]
+
+MAX_DOCUMENT_BYTES = 1_048_576
+"""Largest value of the store, and so the largest document (bytes)."""
+MAX_ENTRIES = 65_536
+
+
+def encode_document(record):
+    """Returns a record's msgpack form (bytes)."""
+    return msgpack.packb(to_plain(record))
+
+
+def _unpack(data, max_bytes):
+    return msgpack.unpackb(
+        data,
+        raw=False,
+        strict_map_key=True,
+        max_str_len=max_bytes,
+        max_bin_len=max_bytes,
+        max_array_len=MAX_ENTRIES,
+        max_map_len=MAX_ENTRIES,
+        max_ext_len=0,
+    )
+
+
+def decode_document(cls, data) -> Result:
+    """Decodes and checks a document.
+
+    Args:
+        cls: Generated class of the document.
+        data: msgpack form (bytes).
+
+    Returns:
+        Ok with the record, or Error with a Fault.
+    """
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return Error(Fault(ResultCode.TOO_LARGE, f"document of {len(data)} bytes"))
+    try:
+        value = _unpack(data, MAX_DOCUMENT_BYTES)
+    except (ValueError, msgpack.UnpackException, RecursionError) as exc:
+        return Error(Fault(ResultCode.PEER_FRAME, f"not msgpack: {exc}"))
+    return from_plain(cls, value).map_error(
+        lambda faults: Fault(ResultCode.PEER_FRAME, faults[0].detail)
+    )
+
+
+def encode_message(message, call_id=0, reply_to=0):
+    """Encodes a message between instances.
+
+    Args:
+        message: Record with a TAG.
+        call_id: Id under which an answer is awaited; 0 for none.
+        reply_to: Id of the call that this answers; 0 for none.
+
+    Returns:
+        Frame body (bytes).
+    """
+    return msgpack.packb([message.TAG, call_id, reply_to, to_plain(message)])
+
+
+def decode_message(data) -> Result:
+    """Decodes and checks a message between instances.
+
+    Args:
+        data: Frame body (bytes), already bounded by its frame.
+
+    Returns:
+        Ok with the tuple (message, call_id, reply_to), or Error with a Fault.
+    """
+    try:
+        parts = _unpack(data, len(data))
+    except (ValueError, msgpack.UnpackException, RecursionError) as exc:
+        return Error(Fault(ResultCode.PEER_FRAME, f"not msgpack: {exc}"))
+    if not isinstance(parts, list) or len(parts) != 4:
+        return Error(Fault(ResultCode.PEER_FRAME, "not a message"))
+    tag, call_id, reply_to, value = parts
+    cls = MESSAGES_BY_TAG.get(tag) if isinstance(tag, int) else None
+    if cls is None or not isinstance(call_id, int) or not isinstance(reply_to, int):
+        return Error(Fault(ResultCode.PEER_FRAME, f"unknown message tag {tag!r:.20}"))
+    built = from_plain(cls, value)
+    if built.is_error():
+        return Error(Fault(ResultCode.PEER_FRAME, built.error[0].detail))
+    return Ok((built.ok, call_id, reply_to))
--- /dev/null
+++ b/standins/src/flamingolift_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the backend servers and a faulty network."""
--- /dev/null
+++ b/standins/src/flamingolift_standins/fleet.py
@@ -0,0 +1,357 @@
+"""Starts a whole fleet as separate processes on loopback, for tests and demos."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+
+import aiohttp
+
+__all__ = ["Fleet", "FleetInstance", "free_ports", "start_fleet", "wait_until"]
+
+PEER_KEYS = "k1:" + "a1" * 16
+TICKET_KEYS = "t1:" + "b2" * 16
+OPERATOR_KEY = "c3" * 16
+START_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+class FleetInstance:
+    """One entry instance as a process.
+
+    Attributes:
+        name: Instance name.
+        region: Region name.
+        failure_domain: Failure domain name.
+        caller_port: TCP port for callers.
+        operator_port: TCP port for operators.
+        peer_port: TCP port for peers.
+        process: Process, or None.
+        log_path: File that its log goes to.
+    """
+
+    __slots__ = (
+        "caller_port",
+        "failure_domain",
+        "log_path",
+        "name",
+        "operator_port",
+        "peer_port",
+        "process",
+        "region",
+    )
+
+    def __init__(self, name, region, failure_domain, ports, log_path):
+        self.name = name
+        self.region = region
+        self.failure_domain = failure_domain
+        self.caller_port, self.operator_port, self.peer_port = ports
+        self.process = None
+        self.log_path = log_path
+
+    def as_entry(self, state="live"):
+        """Returns the live list's entry."""
+        return {
+            "instance_id": self.name,
+            "region": self.region,
+            "failure_domain": self.failure_domain,
+            "host": "127.0.0.1",
+            "caller_port": self.caller_port,
+            "operator_port": self.operator_port,
+            "peer_port": self.peer_port,
+            "state": state,
+        }
+
+    @property
+    def url(self):
+        """Base URL for callers."""
+        return f"http://127.0.0.1:{self.caller_port}"
+
+
+class Fleet:
+    """A store, backend servers and instances, all on loopback.
+
+    Attributes:
+        regions: Map of region to its failure domains.
+        instances: Map of instance name to FleetInstance.
+        backends: List of the live list's backend entries, with "time_ms".
+        processes: Processes of the stand-ins.
+        store_port: TCP port of the store.
+        admin_ports: TCP ports of the backend stand-ins' admin listeners.
+        folder: Folder for the logs.
+        options: Extra settings for every instance.
+        session: aiohttp session for tests.
+    """
+
+    __slots__ = (
+        "admin_ports",
+        "backends",
+        "folder",
+        "instances",
+        "options",
+        "processes",
+        "regions",
+        "session",
+        "store_port",
+    )
+
+    def __init__(self, regions, folder, options):
+        self.regions = regions
+        self.instances = {}
+        self.backends = []
+        self.processes = []
+        self.store_port = 0
+        self.admin_ports = {}
+        self.folder = folder
+        self.options = options
+        self.session = None
+
+    @property
+    def store_url(self):
+        """Base URL of the store."""
+        return f"http://127.0.0.1:{self.store_port}"
+
+
+def free_ports(count):
+    """Returns TCP ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+async def wait_until(check, timeout_s=START_TIMEOUT_S, what="condition"):
+    """Waits until an asynchronous check returns something true.
+
+    Returns:
+        What the check returned.
+
+    Raises:
+        TimeoutError: The time passed; the message names the condition.
+    """
+    ends_at = time.monotonic() + timeout_s
+    while True:
+        with contextlib.suppress(aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            value = await check()
+            if value:
+                return value
+        if time.monotonic() > ends_at:
+            raise TimeoutError(f"{what} not reached within {timeout_s} s")
+        await asyncio.sleep(POLL_S)
+
+
+async def _spawn(fleet, name, module, *args, env=None):
+    log = open(os.path.join(fleet.folder, f"{name}.log"), "ab")  # noqa: SIM115
+    try:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *args,
+            stdout=log,
+            stderr=log,
+            env={**os.environ, **(env or {})},
+        )
+    finally:
+        log.close()
+
+
+def instance_environment(fleet, inst):
+    """Returns the environment of an instance's process."""
+    seeds = [
+        f"127.0.0.1:{i.peer_port}" for i in fleet.instances.values() if i is not inst
+    ]
+    values = {
+        "INSTANCE_ID": inst.name,
+        "REGION": inst.region,
+        "FAILURE_DOMAIN": inst.failure_domain,
+        "CALLER_PORT": inst.caller_port,
+        "OPERATOR_PORT": inst.operator_port,
+        "PEER_PORT": inst.peer_port,
+        "STORE_URL": fleet.store_url,
+        "PEER_SEEDS": ",".join(seeds[:4]),
+        "PEER_KEYS": PEER_KEYS,
+        "TICKET_KEYS": TICKET_KEYS,
+        "OPERATOR_KEYS": "o1:" + OPERATOR_KEY,
+        **{name.upper(): value for name, value in fleet.options.items()},
+    }
+    return {f"FLAMINGOLIFT_{name}": str(value) for name, value in values.items()}
+
+
+async def start_instance(fleet, inst):
+    """Starts, or restarts, the process of an instance."""
+    env = instance_environment(fleet, inst)
+    inst.process = await _spawn(fleet, inst.name, "flamingolift_daemon.main", env=env)
+
+
+async def publish_live(fleet, leaving=(), without=()):
+    """Sets the platform's live list."""
+    body = {
+        "instances": [
+            inst.as_entry("leaving" if inst.name in leaving else "live")
+            for inst in fleet.instances.values()
+            if inst.name not in without
+        ],
+        "backend_servers": [
+            {k: v for k, v in entry.items() if k != "time_ms"}
+            for entry in fleet.backends
+        ],
+    }
+    async with fleet.session.put(f"{fleet.store_url}/admin/live", json=body) as resp:
+        resp.raise_for_status()
+
+
+async def set_store_faults(fleet, **faults):
+    """Sets the faults of the store stand-in."""
+    async with fleet.session.put(
+        f"{fleet.store_url}/admin/faults", json=faults
+    ) as resp:
+        resp.raise_for_status()
+
+
+async def set_backend(fleet, server_id, **values):
+    """Sets attributes of one backend server."""
+    port = fleet.admin_ports[server_id]
+    url = f"http://127.0.0.1:{port}/server/{server_id}"
+    async with fleet.session.put(url, json=values) as resp:
+        resp.raise_for_status()
+
+
+async def backend_reports(fleet):
+    """Returns the merged report of all backend stand-ins."""
+    servers, bookings, headers = {}, {}, {}
+    for port in sorted(set(fleet.admin_ports.values())):
+        async with fleet.session.get(f"http://127.0.0.1:{port}/report") as resp:
+            report = await resp.json()
+        for row in report["servers"].values():
+            row["age_s"] = report["now"] - row["last_start"]
+        servers.update(report["servers"])
+        headers = report["last_headers"] or headers
+        for name, runs in report["bookings"].items():
+            bookings[name] = bookings.get(name, 0) + runs
+    return {"servers": servers, "bookings": bookings, "last_headers": headers}
+
+
+async def reset_backends(fleet):
+    """Forgets the starts and peaks that the backend stand-ins counted."""
+    for port in sorted(set(fleet.admin_ports.values())):
+        async with fleet.session.put(f"http://127.0.0.1:{port}/reset") as resp:
+            resp.raise_for_status()
+
+
+async def operator_get(fleet, inst, path):
+    """Returns an operator's page of an instance."""
+    headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+    url = f"http://127.0.0.1:{inst.operator_port}{path}"
+    async with fleet.session.get(url, headers=headers) as resp:
+        return await resp.json()
+
+
+async def start_fleet(
+    regions, per_domain, services, folder, *, options=None, backend_processes=2
+):
+    """Starts a fleet without a policy.
+
+    Args:
+        regions: Map of region to its failure domains.
+        per_domain: Number of instances in each failure domain.
+        services: List of (service, servers, slots, time_ms).
+        folder: Folder for the logs.
+        options: Extra settings for every instance.
+        backend_processes: Processes that host the backend servers.
+
+    Returns:
+        Fleet whose store and backend servers run; instances are started by
+        `start_instances`.
+    """
+    fleet = Fleet(regions, str(folder), options or {})
+    fleet.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    domains = [(r, d) for r, names in regions.items() for d in names]
+    server_count = sum(count for _, count, _, _ in services)
+    instance_count = per_domain * len(domains)
+    ports = free_ports(1 + server_count + backend_processes + 3 * instance_count)
+    fleet.store_port = ports.pop()
+    for service, count, slots, time_ms in services:
+        for number in range(count):
+            region, domain = domains[number % len(domains)]
+            fleet.backends.append(
+                {
+                    "server_id": f"{service}-{number + 1}",
+                    "service": service,
+                    "region": region,
+                    "failure_domain": domain,
+                    "host": "127.0.0.1",
+                    "port": ports.pop(),
+                    "slots": slots,
+                    "time_ms": time_ms,
+                }
+            )
+    store = _spawn(
+        fleet, "store", "flamingolift_standins.store", "--port", str(fleet.store_port)
+    )
+    fleet.processes.append(await store)
+    for index in range(backend_processes):
+        mine = fleet.backends[index::backend_processes]
+        admin_port = ports.pop()
+        fleet.admin_ports.update({e["server_id"]: admin_port for e in mine})
+        specs = json.dumps(mine)
+        args = ("--admin-port", str(admin_port), "--specs", specs)
+        name = f"backend-{index}"
+        process = _spawn(fleet, name, "flamingolift_standins.backend", *args)
+        fleet.processes.append(await process)
+    for number in range(instance_count):
+        region, domain = domains[number % len(domains)]
+        name = f"{domain}-{number // len(domains) + 1}"
+        trio = [ports.pop() for _ in range(3)]
+        log_path = os.path.join(fleet.folder, f"{name}.log")
+        fleet.instances[name] = FleetInstance(name, region, domain, trio, log_path)
+    await wait_until(lambda: _store_is_up(fleet), what="store")
+    await wait_until(lambda: backend_reports(fleet), what="backend servers")
+    return fleet
+
+
+async def _store_is_up(fleet):
+    async with fleet.session.get(f"{fleet.store_url}/admin/stats") as resp:
+        return resp.status == 200
+
+
+async def start_instances(fleet):
+    """Publishes the live list and starts all instances."""
+    await publish_live(fleet)
+    for inst in fleet.instances.values():
+        await start_instance(fleet, inst)
+
+
+async def is_ready(fleet, inst):
+    """Returns whether an instance answers on its ready page."""
+    async with fleet.session.get(f"{inst.url}/readyz") as resp:
+        return resp.status == 200
+
+
+async def wait_ready(fleet, names=None):
+    """Waits until the instances are ready."""
+    for name, inst in fleet.instances.items():
+        if names is None or name in names:
+            await wait_until(lambda inst=inst: is_ready(fleet, inst), what=name)
+
+
+async def stop_fleet(fleet):
+    """Ends every process that the fleet started."""
+    processes = [i.process for i in fleet.instances.values() if i.process]
+    processes += fleet.processes
+    for process in processes:
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+    for process in processes:
+        await process.wait()
+    await fleet.session.close()
