Check the core protocol with spin and the request path with real processes

Change: spec/shift, spec/booking, spec/config with pytest driver; fault proxy; tests of the request path. A refusal now discards further input for a second before it closes, since a reset lost the caller's numbered answer (seen: ConnectionResetError).

--- a/packages/daemon/src/flamingolift_daemon/httpserver.py
+++ b/packages/daemon/src/flamingolift_daemon/httpserver.py
@@ -20,11 +20,28 @@
 __all__ = ["EmbeddedServer", "make_app", "make_server", "track_caller"]
 
 KEEP_ALIVE_S = 75
+LINGER_S = 1.0
+"""Time for which input is discarded after a refusal (s)."""
 BACKLOG = 2048
 
 
 class ProblemProtocol(H11Protocol):
-    """HTTP protocol that answers a malformed request with a numbered problem."""
+    """HTTP protocol that answers a malformed request with a numbered problem.
+
+    Attributes:
+        refused: Whether the connection was refused and its input is discarded.
+    """
+
+    refused = False
+
+    def data_received(self, data):
+        """Takes input, or discards it after a refusal.
+
+        Args:
+            data: Bytes from the caller.
+        """
+        if not self.refused:
+            super().data_received(data)
 
     def send_400_response(self, msg):
         """Sends the problem and closes the connection.
@@ -46,7 +63,11 @@
         ]
         lines += [f"{name.lower()}: {value}" for name, value in problem_headers(fault)]
         self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        self.transport.close()
+        # Closing with unread input would reset the connection, and the caller
+        # would lose the answer.
+        self.refused = True
+        self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.close)
 
 
 class EmbeddedServer(uvicorn.Server):
--- /dev/null
+++ b/spec/test_specs.py
@@ -0,0 +1,55 @@
+"""Checks each specification exhaustively, and that its broken variants fail."""
+
+import pathlib
+import re
+import shutil
+import subprocess
+
+import pytest
+
+SPEC = pathlib.Path(__file__).parent
+DEPTH = 200_000
+
+SOUND = ["shift", "booking", "config"]
+BROKEN = [
+    ("shift", ["-DNOGUARD"]),
+    ("shift", ["-DNOGUARD", "-DBROKEN"]),
+    ("booking", ["-DBROKEN"]),
+    ("config", ["-DBROKEN"]),
+]
+
+
+def run_checker(name, defines, folder):
+    """Returns (errors, states, whether the search was complete)."""
+    assert shutil.which("spin"), "spin is missing; `make test` installs it"
+    subprocess.run(
+        ["spin", *defines, "-a", str(SPEC / f"{name}.pml")],
+        cwd=folder,
+        check=True,
+        capture_output=True,
+    )
+    compile_command = ["cc", "-w", "-O2", "-DSAFETY", "-DCOLLAPSE", "-o", "pan", "pan.c"]
+    subprocess.run(compile_command, cwd=folder, check=True, capture_output=True)
+    done = subprocess.run(
+        ["./pan", f"-m{DEPTH}", "-w24"], cwd=folder, capture_output=True, text=True
+    )
+    errors = int(re.search(r"errors: (\d+)", done.stdout).group(1))
+    states = int(re.search(r"(\d+) states, stored", done.stdout).group(1))
+    complete = "Search not completed" not in done.stdout
+    complete = complete and "max search depth too small" not in done.stdout
+    return errors, states, complete, done.stdout
+
+
+@pytest.mark.parametrize("name", SOUND)
+def test_specification_holds(name, tmp_path):
+    errors, states, complete, output = run_checker(name, [], tmp_path)
+    print(f"{name}: {states} states")
+    assert errors == 0, output
+    assert complete, output
+
+
+@pytest.mark.parametrize(("name", "defines"), BROKEN)
+def test_broken_variant_is_rejected(name, defines, tmp_path):
+    errors, _, _, output = run_checker(name, defines, tmp_path)
+    assert errors > 0, output
+    assert "assertion violated" in output
--- a/standins/src/flamingolift_standins/backend.py
+++ b/standins/src/flamingolift_standins/backend.py
@@ -74,14 +74,12 @@
 
     Attributes:
         bookings: Map of booking name to the number of times it ran.
-        headers: List of the head of each request, as a dict.
     """
 
-    __slots__ = ("bookings", "last_headers")
+    __slots__ = ("bookings",)
 
     def __init__(self):
         self.bookings = {}
-        self.last_headers = {}
 
 
 def crash(server):
@@ -146,7 +144,6 @@
         server.peak = max(server.peak, server.busy)
         server.started.append(asyncio.get_running_loop().time())
         server.transports.add(request.transport)
-        ledger.last_headers = dict(request.headers)
         try:
             return await answer(request)
         except (asyncio.CancelledError, ConnectionResetError):
@@ -169,7 +166,10 @@
         await asyncio.sleep(float(request.query.get("sleep_ms", time_s * 1000)) / 1000)
         if request.method in ("POST", "PUT"):
             return run_booking(request, body)
-        text = json.dumps({"server": server.server_id, "query": request.query_string})
+        facts = {"server": server.server_id, "target": request.raw_path}
+        if path.startswith("/echo"):
+            facts["headers"] = dict(request.headers)
+        text = json.dumps(facts)
         headers = {"ETag": '"1"', "X-Server": server.server_id}
         return web.Response(text=text.ljust(LOOKUP_BODY_BYTES), headers=headers)
 
@@ -246,7 +246,6 @@
                 "servers": rows,
                 "bookings": ledger.bookings,
                 "now": now,
-                "last_headers": ledger.last_headers,
             }
         )
 
--- /dev/null
+++ b/standins/src/flamingolift_standins/faultproxy.py
@@ -0,0 +1,126 @@
+"""TCP proxy that injects network faults, for tests."""
+
+import asyncio
+
+__all__ = ["FaultProxy", "start_proxy"]
+
+CHUNK_BYTES = 65_536
+
+
+class FaultProxy:
+    """A proxy in front of one address, steered by its attributes.
+
+    Attributes:
+        target: (host, port) that connections go to.
+        port: TCP port of the proxy.
+        server: asyncio server.
+        delay_s: Delay of each chunk in both directions (s).
+        refusing: Whether new connections are closed at once.
+        truncate_after: Bytes of the answer after which a connection is cut, or
+            None.
+        duplicate: Whether each chunk of an answer is sent twice.
+        frozen: Set of connections on which nothing passes any more.
+        connections: Set of open connections, as (reader side, writer side).
+        accepted: Number of connections accepted.
+    """
+
+    __slots__ = (
+        "accepted",
+        "connections",
+        "delay_s",
+        "duplicate",
+        "frozen",
+        "port",
+        "refusing",
+        "server",
+        "target",
+        "truncate_after",
+    )
+
+    def __init__(self, target):
+        self.target = target
+        self.port = 0
+        self.server = None
+        self.delay_s = 0.0
+        self.refusing = False
+        self.truncate_after = None
+        self.duplicate = False
+        self.frozen = set()
+        self.connections = set()
+        self.accepted = 0
+
+    def freeze_open(self):
+        """Drops all traffic on the open connections; new ones work."""
+        self.frozen |= self.connections
+
+    def thaw(self):
+        """Lets traffic pass again on frozen connections."""
+        self.frozen.clear()
+
+    def cut(self):
+        """Closes all open connections."""
+        for _, writer, upstream in list(self.connections):
+            writer.transport.abort()
+            upstream.transport.abort()
+
+
+async def start_proxy(host, port):
+    """Returns a running FaultProxy in front of an address.
+
+    Args:
+        host: IP address of the target.
+        port: TCP port of the target.
+    """
+    proxy = FaultProxy((host, port))
+
+    async def accept(reader, writer):
+        proxy.accepted += 1
+        if proxy.refusing:
+            writer.transport.abort()
+            return
+        try:
+            back_reader, back_writer = await asyncio.open_connection(*proxy.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        key = (proxy.accepted, writer, back_writer)
+        proxy.connections.add(key)
+        try:
+            await asyncio.gather(
+                _pass(proxy, key, reader, back_writer, False),
+                _pass(proxy, key, back_reader, writer, True),
+            )
+        finally:
+            proxy.connections.discard(key)
+            proxy.frozen.discard(key)
+
+    proxy.server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    proxy.port = proxy.server.sockets[0].getsockname()[1]
+    return proxy
+
+
+async def _pass(proxy, key, reader, writer, is_answer):
+    """Copies one direction until it ends, with the faults in force."""
+    passed = 0
+    try:
+        while chunk := await reader.read(CHUNK_BYTES):
+            if proxy.delay_s:
+                await asyncio.sleep(proxy.delay_s)
+            while key in proxy.frozen:
+                await asyncio.sleep(0.02)
+            limit = proxy.truncate_after
+            if is_answer and limit is not None and passed + len(chunk) > limit:
+                writer.write(chunk[: limit - passed])
+                await writer.drain()
+                writer.close()
+                key[1].transport.close()
+                key[2].transport.abort()
+                return
+            writer.write(chunk)
+            if is_answer and proxy.duplicate:
+                writer.write(chunk)
+            await writer.drain()
+            passed += len(chunk)
+        writer.write_eof()
+    except (OSError, RuntimeError):
+        writer.transport.abort()
--- a/standins/src/flamingolift_standins/fleet.py
+++ b/standins/src/flamingolift_standins/fleet.py
@@ -227,17 +227,16 @@
 
 async def backend_reports(fleet):
     """Returns the merged report of all backend stand-ins."""
-    servers, bookings, headers = {}, {}, {}
+    servers, bookings = {}, {}
     for port in sorted(set(fleet.admin_ports.values())):
         async with fleet.session.get(f"http://127.0.0.1:{port}/report") as resp:
             report = await resp.json()
         for row in report["servers"].values():
             row["age_s"] = report["now"] - row["last_start"]
         servers.update(report["servers"])
-        headers = report["last_headers"] or headers
         for name, runs in report["bookings"].items():
             bookings[name] = bookings.get(name, 0) + runs
-    return {"servers": servers, "bookings": bookings, "last_headers": headers}
+    return {"servers": servers, "bookings": bookings}
 
 
 async def reset_backends(fleet):
