Match answers to their requests; tests for bookings, config, drains and faults

HTTP/1.1 names no request in an answer. Change: each request carries an exchange id; a connection is used twice only to a server that echoes it, and an answer with another id is dropped with its connections. A paused peer is suspected as soon as its stream is silent (it was after a second handshake timeout, 10 s and more). A look-up is no longer cut at half of its deadline but gets a second try beside the first (a 2.5 s answer ended in 504). Ruled out: checking the buffer before reuse only (a late copy can arrive afterwards); no reuse at all (1 ms for every request, also to servers that can prove their answers). Conclusion: reuse needs the server's proof.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/model packages/decisions packages/wire packages/daemon packages/cli standins
 
-.PHONY: setup test lint demo bench soak generate
+.PHONY: spin setup test lint demo bench soak generate
 
 setup: $(VENV)/.ready
 
@@ -23,7 +23,11 @@
 	$(BIN)/lint-imports
 	$(BIN)/python tools/generate.py --check
 
-test: setup lint
+# The model checker comes from the distribution; installing it needs root.
+spin:
+	command -v spin >/dev/null || apt-get install -y -q spin >/dev/null 2>&1 || (apt-get update -q && apt-get install -y -q spin) >/dev/null
+
+test: setup spin lint
 	$(BIN)/python -m pytest
 
 soak: setup
--- a/integration/test_bookings.py
+++ b/integration/test_booking_storm.py
@@ -6,14 +6,11 @@
 
 import aiohttp
 import pytest
-import pytest_asyncio
-from conftest import make_fleet
 from flamingolift_standins.fleet import (
     backend_reports,
     publish_live,
     set_store_faults,
     start_instance,
-    stop_fleet,
     wait_ready,
 )
 
@@ -26,13 +23,6 @@
 RESEND_S = 0.05
 
 
-@pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def fleet(tmp_path_factory):
-    running = await make_fleet(tmp_path_factory.mktemp("bookings"))
-    yield running
-    await stop_fleet(running)
-
-
 async def new_key(fleet, inst):
     url = f"{inst.url}/v1/lookup?service=seat-booking&client=10.11.0.1"
     async with fleet.session.get(url) as resp:
@@ -52,7 +42,7 @@
             code = resp.headers.get("Result-Code", "0")
             replayed = "Idempotency-Replayed" in resp.headers
             return resp.status, code, await resp.read(), replayed
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+    except (TimeoutError, aiohttp.ClientError, OSError):
         return 0, "lost", b"", False
 
 
@@ -60,9 +50,7 @@
     instances = list(fleet.instances.values())
     key, _ = await new_key(fleet, instances[0])
     answers = await asyncio.gather(*(send(fleet, i, key, "once") for i in instances))
-    assert {(status, body) for status, _, body, _ in answers} == {
-        (201, answers[0][2])
-    }
+    assert {(status, body) for status, _, body, _ in answers} == {(201, answers[0][2])}
     again = await send(fleet, instances[3], key, "once")
     assert again == (201, "0", answers[0][2], True)
     assert (await backend_reports(fleet))["bookings"]["once"] == 1
--- /dev/null
+++ b/integration/test_config.py
@@ -0,0 +1,193 @@
+"""An accepted configuration is in force everywhere within seconds, for good."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from flamingolift_standins.fleet import (
+    operator_get,
+    set_store_faults,
+    start_instance,
+    wait_ready,
+    wait_until,
+)
+from helpers import RAIL_POLICY, apply_text, run_cli
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+IN_FORCE_S = 2.0
+"""Stated bound at today's size, with the store up (s)."""
+TARGET_IN_FORCE_S = 8.0
+"""Stated bound of the target (s)."""
+RACES = 4
+FLEET_OPTIONS = {"per_domain": 2}
+
+
+def with_queue(ms):
+    return RAIL_POLICY.replace("queue_ms = 500\n", f"queue_ms = {ms}\n", 1)
+
+
+async def numbers(fleet, names=None):
+    """Returns the policy number of each instance."""
+    found = {}
+    for name, inst in fleet.instances.items():
+        if names is None or name in names:
+            page = await operator_get(fleet, inst, "/v1/status")
+            found[name] = page["versions"].get("policy", 0)
+    return found
+
+
+async def test_apply_is_in_force_within_the_bound(fleet):
+    for ms in (501, 502, 503):
+        args = ("--wait-s", str(IN_FORCE_S))
+        status, output = await apply_text(fleet, with_queue(ms), *args)
+        assert status == 0, output
+    status, output = await run_cli(fleet, "--json", "history")
+    assert status == 0
+    rows = json.loads(output)["history"]
+    assert [r["number"] for r in rows] == sorted(
+        (r["number"] for r in rows), reverse=True
+    )
+
+
+async def test_racing_operators_one_wins_and_the_other_is_told(fleet):
+    base = max((await numbers(fleet)).values())
+    args = ("--expect", str(base))
+    results = await asyncio.gather(
+        *(
+            apply_text(fleet, with_queue(600 + i), *args, name=f"race{i}.toml")
+            for i in range(RACES)
+        )
+    )
+    winners = [output for status, output in results if status == 0]
+    losers = [output for status, output in results if status != 0]
+    assert len(winners) == 1
+    assert all(status in (0, 41) for status, _ in results)
+    assert all("4006" in output and "queue_ms" in output for output in losers)
+    assert set((await numbers(fleet)).values()) == {base + 1}
+
+
+async def test_lost_answer_is_resolved_by_reading_back(fleet):
+    base = max((await numbers(fleet)).values())
+    await set_store_faults(fleet, lose_answers=1)
+    status, output = await apply_text(fleet, with_queue(701))
+    await set_store_faults(fleet, lose_answers=0)
+    assert status == 0, output
+    assert set((await numbers(fleet)).values()) == {base + 1}
+
+
+async def test_replaced_instance_in_an_outage_gets_the_newest(fleet):
+    status, output = await apply_text(fleet, with_queue(801))
+    assert status == 0, output
+    newest = max((await numbers(fleet)).values())
+    await set_store_faults(fleet, mode="down")
+    try:
+        victims = ["accra-central-1", "kumasi-yard-2"]
+        for name in victims:
+            fleet.instances[name].process.kill()
+            await fleet.instances[name].process.wait()
+            await start_instance(fleet, fleet.instances[name])
+        await wait_ready(fleet, victims)
+        assert set((await numbers(fleet, victims)).values()) == {newest}
+        status, output = await run_cli(fleet, "history")
+        assert status == 50, output
+        assert "5001" in output
+    finally:
+        await set_store_faults(fleet, mode="up")
+
+
+async def test_every_watcher_replaced_in_an_outage(fleet):
+    """With every instance but one replaced, the survivor's copy is the newest."""
+    newest = max((await numbers(fleet)).values())
+    await set_store_faults(fleet, mode="down")
+    try:
+        names = sorted(fleet.instances)[1:]
+        for name in names:
+            fleet.instances[name].process.kill()
+            await fleet.instances[name].process.wait()
+        for name in names:
+            await start_instance(fleet, fleet.instances[name])
+        await wait_ready(fleet)
+        assert set((await numbers(fleet)).values()) == {newest}
+    finally:
+        await set_store_faults(fleet, mode="up")
+
+    async def accepted():
+        status, _ = await apply_text(fleet, with_queue(802))
+        return status == 0
+
+    await wait_until(accepted, 20, "apply after the outage")
+
+
+async def test_numbers_never_go_back(fleet):
+    seen = {name: 0 for name in fleet.instances}
+    stop = asyncio.Event()
+
+    async def watch():
+        while not stop.is_set():
+            for name, number in (await numbers(fleet)).items():
+                assert number >= seen[name], name
+                seen[name] = number
+            await asyncio.sleep(0.02)
+
+    watching = asyncio.ensure_future(watch())
+    for ms in range(900, 906):
+        await apply_text(fleet, with_queue(ms))
+    stop.set()
+    await watching
+
+
+async def test_slow_store_and_cut_link_still_meet_the_target(fleet):
+    await set_store_faults(fleet, mode="slow", delay_s=0.5)
+    try:
+        started = time.monotonic()
+        status, output = await apply_text(
+            fleet, with_queue(950), "--wait-s", str(TARGET_IN_FORCE_S)
+        )
+        assert status == 0, output
+        print("slow store:", round(time.monotonic() - started, 2), "s")
+    finally:
+        await set_store_faults(fleet, mode="up", delay_s=0.0)
+
+
+async def test_store_calls_grow_with_domains_not_instances(fleet):
+    async def store_calls():
+        url = f"{fleet.store_url}/admin/stats"
+        async with fleet.session.get(url) as resp:
+            return (await resp.json())["calls"]
+
+    await asyncio.sleep(1.0)
+    before = await store_calls()
+    await asyncio.sleep(5.0)
+    after = await store_calls()
+    domains = len({inst.failure_domain for inst in fleet.instances.values()})
+    grown = {kind: after[kind] - before.get(kind, 0) for kind in after}
+    per_s = sum(grown.values()) / 5.0
+    print("store calls a second:", round(per_s, 2), grown)
+    # Each domain writes one report a second and has two watchers with two watches;
+    # the planner adds a renewal, a read and a listing every two seconds, and the
+    # other domains' first relays one read.
+    assert per_s <= domains * (1.0 + 4.0 / 25.0 + 0.5) + 1.5 + 1.0
+
+
+async def test_malformed_policies_are_refused_with_their_line(fleet):
+    base = max((await numbers(fleet)).values())
+    cases = {
+        "fleet = \n": (1, "4001"),
+        RAIL_POLICY.replace("cap = 0.10", "cap = 7.0"): (6, "4002"),
+        RAIL_POLICY.replace("cap = 0.10", "capp = 0.1"): (6, "4002"),
+        RAIL_POLICY.replace('service = "timetable", block', 'service = "tt", block'): (
+            None,
+            "4003",
+        ),
+        RAIL_POLICY.replace("[shift]", "[shift]\nhysteresis = 0.2"): (6, "4005"),
+        "#" * 300_000: (1, "1002"),
+    }
+    for text, (line, code) in cases.items():
+        status, output = await apply_text(fleet, text, name="bad.toml")
+        assert status in (20, 40), output
+        assert f" {code} " in output
+        if line is not None:
+            assert f"bad.toml:{line}:" in output
+    assert set((await numbers(fleet)).values()) == {base}
--- /dev/null
+++ b/integration/test_drain.py
@@ -0,0 +1,211 @@
+"""Drains and planned stops that hurt nobody."""
+
+import asyncio
+import signal
+import time
+
+import aiohttp
+import pytest
+from flamingolift_standins.fleet import (
+    backend_reports,
+    publish_live,
+    set_backend,
+    start_instance,
+    wait_ready,
+    wait_until,
+)
+from helpers import run_cli
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+LAST_REQUEST_S = 3.0
+"""Stated bound from the first sign to the last new request (s)."""
+
+
+class Traffic:
+    """A steady stream of look-ups and what became of it.
+
+    Attributes:
+        done: Number of whole answers.
+        failures: List of (status, code) of the others.
+    """
+
+    __slots__ = ("done", "failures")
+
+    def __init__(self):
+        self.done = 0
+        self.failures = []
+
+
+async def run_traffic(fleet, stop, traffic, only=None, workers=12):
+    """Sends timetable look-ups until told to stop."""
+
+    async def work(number):
+        names = sorted(only or fleet.instances)
+        while not stop.is_set():
+            inst = fleet.instances[names[number % len(names)]]
+            number += 1
+            url = f"{inst.url}/s/timetable/departures"
+            try:
+                async with fleet.session.get(url) as resp:
+                    body = await resp.read()
+                    if resp.status == 200 and len(body) == 2048:
+                        traffic.done += 1
+                    else:
+                        code = resp.headers.get("Result-Code")
+                        traffic.failures.append((resp.status, code))
+            except aiohttp.ClientError as exc:
+                traffic.failures.append((0, repr(exc)))
+            await asyncio.sleep(0.005)
+
+    await asyncio.gather(*(work(i) for i in range(workers)))
+
+
+async def last_start_after(fleet, server_ids, sign_at, settle_s):
+    """Returns the time from a sign to the last request that a server started (s)."""
+    await asyncio.sleep(max(0.0, sign_at + settle_s - time.monotonic()))
+    report = await backend_reports(fleet)
+    now = time.monotonic()
+    ages = [report["servers"][name]["age_s"] for name in server_ids]
+    return max(0.0, now - min(ages) - sign_at)
+
+
+async def under_traffic(fleet, action, server_ids, settle_s=4.5):
+    """Runs an action under load; returns (last start, Traffic)."""
+    stop, traffic = asyncio.Event(), Traffic()
+    running = asyncio.ensure_future(run_traffic(fleet, stop, traffic))
+    await asyncio.sleep(1.5)
+    sign_at = time.monotonic()
+    await action()
+    late_s = await last_start_after(fleet, server_ids, sign_at, settle_s)
+    stop.set()
+    await running
+    print(f"last new request {late_s:.2f} s after the sign; {traffic.done} answers")
+    return late_s, traffic
+
+
+async def test_operator_drains_a_backend_server(fleet):
+    async def action():
+        status, output = await run_cli(fleet, "drain", "server", "timetable-1")
+        assert status == 0, output
+
+    late_s, traffic = await under_traffic(fleet, action, ["timetable-1"])
+    assert late_s <= LAST_REQUEST_S
+    assert traffic.failures == []
+    assert (await run_cli(fleet, "undrain", "server", "timetable-1"))[0] == 0
+
+
+async def test_health_endpoint_alone_drains(fleet):
+    async def action():
+        await set_backend(fleet, "timetable-2", state="draining")
+
+    late_s, traffic = await under_traffic(fleet, action, ["timetable-2"])
+    assert late_s <= LAST_REQUEST_S
+    assert traffic.failures == []
+    await set_backend(fleet, "timetable-2", state="up")
+
+
+async def test_live_list_alone_drains(fleet):
+    entry = next(e for e in fleet.backends if e["server_id"] == "timetable-3")
+
+    async def action():
+        entry["state"] = "leaving"
+        await publish_live(fleet)
+
+    late_s, traffic = await under_traffic(fleet, action, ["timetable-3"])
+    assert late_s <= LAST_REQUEST_S
+    assert traffic.failures == []
+    entry["state"] = "live"
+    await publish_live(fleet)
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"), [("domain", "accra-central"), ("region", "ashanti")]
+)
+async def test_operator_drains_a_place(fleet, kind, name):
+    field = {"domain": "failure_domain", "region": "region"}[kind]
+    servers = [
+        e["server_id"]
+        for e in fleet.backends
+        if e[field] == name and e["service"] == "timetable"
+    ]
+
+    async def action():
+        status, output = await run_cli(fleet, "drain", kind, name)
+        assert status == 0, output
+
+    late_s, traffic = await under_traffic(fleet, action, servers)
+    assert late_s <= LAST_REQUEST_S
+    assert traffic.failures == []
+    assert (await run_cli(fleet, "undrain", kind, name))[0] == 0
+
+
+async def test_drained_instance_gets_no_lookups(fleet):
+    name = "kumasi-yard-1"
+    assert (await run_cli(fleet, "drain", "instance", name))[0] == 0
+    for client in range(40):
+        inst = fleet.instances["accra-central-1"]
+        url = f"{inst.url}/v1/lookup?service=timetable&client=10.12.{client}.1"
+        async with fleet.session.get(url) as resp:
+            assert (await resp.json())["instance"] != name
+    assert (await run_cli(fleet, "undrain", "instance", name))[0] == 0
+
+
+async def test_unknown_target_is_refused(fleet):
+    status, output = await run_cli(fleet, "drain", "server", "nowhere")
+    assert status == 40
+    assert "4003" in output
+
+
+async def test_planned_stop_of_an_instance_cuts_nothing(fleet):
+    """Callers with cached look-ups go on until the TTL; a download ends whole."""
+    name = "takoradi-port-1"
+    inst = fleet.instances[name]
+    url = f"{inst.url}/s/timetable/slow?sleep_ms=2500"
+
+    async def slow_request():
+        async with fleet.session.get(url) as resp:
+            return resp.status, len(await resp.read())
+
+    slow = asyncio.ensure_future(slow_request())
+    await asyncio.sleep(0.3)
+    inst.process.send_signal(signal.SIGTERM)
+    stopped_at = time.monotonic()
+
+    async def is_avoided():
+        other = fleet.instances["accra-central-1"]
+        found = set()
+        for client in range(20):
+            lookup = f"{other.url}/v1/lookup?service=timetable&client=10.13.{client}.1"
+            async with fleet.session.get(lookup) as resp:
+                found.add((await resp.json())["instance"])
+        return name not in found
+
+    await wait_until(is_avoided, LAST_REQUEST_S, "look-ups to avoid the instance")
+    async with fleet.session.get(f"{inst.url}/s/timetable/cached") as resp:
+        assert resp.status == 200
+    assert await slow == (200, 2048)
+    assert await asyncio.wait_for(inst.process.wait(), 15) == 0
+    print(f"stopped after {time.monotonic() - stopped_at:.2f} s")
+    await start_instance(fleet, inst)
+    await wait_ready(fleet)
+
+
+async def test_second_signal_cuts_short_and_says_what(fleet):
+    inst = fleet.instances["tarkwa-depot-1"]
+    url = f"{inst.url}/s/timetable/slow?sleep_ms=2900"
+    slow = asyncio.ensure_future(fleet.session.get(url))
+    await asyncio.sleep(0.3)
+    inst.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    inst.process.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(inst.process.wait(), 5) == 0
+    try:
+        cut = await slow
+        assert cut.headers["Request-Outcome"] == "unknown"
+    except aiohttp.ClientError:
+        pass
+    with open(inst.log_path, encoding="utf-8") as log:
+        assert '"cut": 1' in log.read()
+    await start_instance(fleet, inst)
+    await wait_ready(fleet)
--- a/integration/test_path.py
+++ b/integration/test_path.py
@@ -79,7 +79,9 @@
 
 async def test_range_is_passed_on(fleet):
     headers = {"Range": "bytes=100-199"}
-    status, headers, body = await get(fleet, "/s/route-packs/file/a/1000", headers=headers)
+    status, headers, body = await get(
+        fleet, "/s/route-packs/file/a/1000", headers=headers
+    )
     assert status == 206
     assert headers["Content-Range"] == "bytes 100-199/1000"
     assert body == file_bytes(100, 199)
--- a/packages/daemon/src/flamingolift_daemon/backendclient.py
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -1,6 +1,8 @@
 """HTTP connections to the backend servers."""
 
 import asyncio
+import itertools
+import secrets
 
 import aiohttp
 from expression import Error, Ok, Result
@@ -36,6 +38,9 @@
 )
 NOT_RUN_HEADER = "Request-Outcome"
 DEADLINE_HEADER = "Request-Deadline-Ms"
+EXCHANGE_HEADER = "Exchange-Id"
+"""Header field that a backend server may echo, so that an answer can be told from
+a late or doubled one on the same connection."""
 KEEP_ALIVE_S = 15.0
 READ_BUFFER_BYTES = 65_536
 MAX_FIELD_BYTES = 16_384
@@ -46,14 +51,17 @@
 
     Attributes:
         session: aiohttp session.
+        echoes: Whether the server returns the exchange id of a request, without
+            which a connection is not used twice.
         in_use: Number of requests on it.
         retired: Whether it is closed after the last of them.
     """
 
-    __slots__ = ("in_use", "retired", "session")
+    __slots__ = ("echoes", "in_use", "retired", "session")
 
     def __init__(self, session):
         self.session = session
+        self.echoes = False
         self.in_use = 0
         self.retired = False
 
@@ -64,6 +72,8 @@
     Attributes:
         by_server: Map of backend server to its ServerConnections.
         fresh: ServerConnections that open a new connection for each request.
+        exchange_ids: Iterator of exchange ids, unique for this process.
+        closed: Whether the instance has stopped and sends nothing more.
         connect_timeout_s: Timeout for a new connection (s).
         idle_read_timeout_s: Longest silence within an answer (s).
         metrics: Metrics.
@@ -71,7 +81,9 @@
 
     __slots__ = (
         "by_server",
+        "closed",
         "connect_timeout_s",
+        "exchange_ids",
         "fresh",
         "idle_read_timeout_s",
         "metrics",
@@ -79,6 +91,8 @@
 
     def __init__(self, connect_timeout_s, idle_read_timeout_s, metrics):
         self.by_server = {}
+        self.exchange_ids = itertools.count(secrets.randbits(62))
+        self.closed = False
         self.connect_timeout_s = connect_timeout_s
         self.idle_read_timeout_s = idle_read_timeout_s
         self.metrics = metrics
@@ -135,7 +149,11 @@
         self.resp = resp
         self.connections = connections
         self.status = resp.status
-        self.headers = end_to_end_headers(resp.headers.items())
+        self.headers = [
+            (name, value)
+            for name, value in end_to_end_headers(resp.headers.items())
+            if name.lower() != EXCHANGE_HEADER.lower()
+        ]
 
 
 def end_to_end_headers(pairs):
@@ -207,7 +225,8 @@
 
 
 async def close_clients(clients):
-    """Closes all connections."""
+    """Closes all connections; requests on them end with an unknown outcome."""
+    clients.closed = True
     for connections in [*clients.by_server.values(), clients.fresh]:
         await connections.session.close()
 
@@ -233,22 +252,36 @@
         headers: List of end-to-end (name, value).
         body: Bytes, an asynchronous iterator of bytes, or None.
         timeout_s: Time left for the head of the answer (s).
-        fresh: Whether to use a new connection.
+        fresh: Whether to use a new connection in any case.
 
     Returns:
         Ok with a BackendAnswer, or Error with an Outcome. Only a connection that
         was never opened, or the server's own word, counts as not sent.
+
+    Notes:
+        HTTP/1.1 does not say which request an answer belongs to. A connection is
+        used again only to a server that echoes the exchange id, and each of its
+        answers must carry the id of its own request.
     """
+    if clients.closed:
+        fault = Fault(ResultCode.DRAINING, "the instance has stopped")
+        return Error(Outcome("cancelled", False, fault))
     if timeout_s <= 0.0:
         fault = Fault(ResultCode.DEADLINE_BEFORE_RUN, "no time was left")
         return Error(Outcome("cancelled", False, fault))
-    connections = clients.fresh if fresh else _connections_to(clients, slot.server_id)
+    known = _connections_to(clients, slot.server_id)
+    connections = known if known.echoes and not fresh else clients.fresh
+    exchange_id = f"{next(clients.exchange_ids):x}"
     url = URL(f"http://{slot.host}:{slot.port}{target}", encoded=True)
     timeout = aiohttp.ClientTimeout(
         sock_connect=min(clients.connect_timeout_s, timeout_s),
         sock_read=clients.idle_read_timeout_s,
     )
-    sent = [*headers, (DEADLINE_HEADER, str(int(timeout_s * 1000)))]
+    sent = [
+        *headers,
+        (DEADLINE_HEADER, str(int(timeout_s * 1000))),
+        (EXCHANGE_HEADER, exchange_id),
+    ]
     connections.in_use += 1
     judged = None
     try:
@@ -264,11 +297,13 @@
             timeout_s,
         )
         judged = _judge_head(slot, method, resp, connections)
+        if not _is_own_answer(resp, exchange_id, connections, known):
+            judged = Error(_crossed(clients, slot, resp))
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         fault = Fault(ResultCode.NO_BACKEND, f"{slot.server_id}: {exc}", 1000)
         return Error(Outcome("refused_connection", False, fault))
     except TimeoutError:
-        if not fresh:
+        if connections is known:
             retire_connections(clients, slot.server_id)
         fault = Fault(ResultCode.BACKEND_TIMEOUT, f"{slot.server_id} gave no answer")
         return Error(Outcome("timeout", True, fault))
@@ -282,6 +317,32 @@
     return judged
 
 
+def _is_own_answer(resp, exchange_id, connections, known):
+    """Returns whether an answer belongs to the request that was sent.
+
+    Args:
+        resp: aiohttp response.
+        exchange_id: Exchange id of the request.
+        connections: ServerConnections that the answer came over.
+        known: ServerConnections of the server, which learn whether it echoes.
+    """
+    echoed = resp.headers.get(EXCHANGE_HEADER)
+    known.echoes = echoed == exchange_id
+    if echoed is None:
+        # Nothing else can have been sent on a connection of its own.
+        return connections is not known
+    return echoed == exchange_id
+
+
+def _crossed(clients, slot, resp):
+    """Returns the Outcome for an answer that belongs to another request."""
+    resp.close()
+    count(clients.metrics, "answers.crossed")
+    retire_connections(clients, slot.server_id)
+    detail = f"{slot.server_id} answered another request"
+    return Outcome("crashed", True, Fault(ResultCode.BACKEND_FAILED, detail))
+
+
 def _judge_head(slot, method, resp, connections):
     """Accepts the head of an answer, or explains why it is not passed on."""
     if resp.status == 503 and resp.headers.get(NOT_RUN_HEADER) == "not-run":
--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -12,7 +12,11 @@
 from flamingolift_decisions.quarantine import is_quarantined
 from flamingolift_model import Fault, FaultError, ResultCode
 
-from flamingolift_daemon.backendclient import close_answer, send_request
+from flamingolift_daemon.backendclient import (
+    close_answer,
+    retire_connections,
+    send_request,
+)
 from flamingolift_daemon.dispatching import acquire_slot, release_slot
 from flamingolift_daemon.metrics import count
 
@@ -28,12 +32,14 @@
 
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 MAX_TRIES = 3
-FIRST_TRY_SHARE = 0.5
-"""Share of the deadline for the first try, so that a second one has time."""
+LATE_SHARE = 0.5
+"""Share of the deadline after which a look-up is late enough for a second try."""
 CHUNK_BYTES = 65_536
 HOLD_SLACK_S = 1.0
 DOWNLOAD_HOLD_S = 300.0
-SILENT_REFUSAL_S = 0.2
+SPILL_AFTER_S = 0.1
+"""Wait in the own region's queue after which other regions are asked (s)."""
+REGION_REFUSAL_S = 0.05
 """Time for which a region that refused is not asked again (s)."""
 
 
@@ -139,33 +145,69 @@
 
 
 async def acquire_anywhere(instance, forward, hold_s, wait_s, avoid) -> Result:
-    """Gets a slot in the own region, or else in another one without waiting."""
-    fault = None
-    for position, region in enumerate(regions_to_try(instance, forward.service)):
-        got = await acquire_slot(
+    """Gets a slot in the own region, or in another one when that takes long.
+
+    Args:
+        instance: Instance.
+        forward: Forward.
+        hold_s: Longest time that the slot is held (s).
+        wait_s: Longest wait in the own region's queue (s).
+        avoid: Backend servers not to use.
+
+    Returns:
+        Ok with a Slot, or Error with a Fault: then nothing was run. The place in
+        the own queue is kept while other regions are asked, which never queue.
+    """
+    own, *others = regions_to_try(instance, forward.service)
+
+    def ask(region, patience_s):
+        return acquire_slot(
             instance,
             forward.service,
             region,
             tenant=forward.tenant,
             fingerprint=forward.fingerprint,
-            wait_s=wait_s if position == 0 else 0.0,
+            wait_s=patience_s,
             hold_s=hold_s,
             avoid=avoid,
         )
-        if got.is_ok():
-            if position:
+
+    waiting = asyncio.ensure_future(ask(own, wait_s))
+    try:
+        await asyncio.wait({waiting}, timeout=SPILL_AFTER_S)
+        if waiting.done() and _is_final(waiting.result()):
+            return waiting.result()
+        for region in others:
+            got = await ask(region, 0.0)
+            if got.is_ok():
                 count(instance.metrics, "slots.other_region")
-            return got
-        if got.error.code == ResultCode.QUARANTINED:
-            return got
-        if position:
-            until = instance.clock.now() + SILENT_REFUSAL_S
+                await _give_up(instance, waiting)
+                return got
+            until = instance.clock.now() + REGION_REFUSAL_S
             instance.unreachable[forward.service, region] = until
-        if fault is None or fault.code == ResultCode.PEER_UNREACHABLE:
-            fault = got.error
-    if fault.code == ResultCode.PEER_UNREACHABLE:
-        fault = Fault(ResultCode.NO_BACKEND, fault.detail, 1000)
-    return Error(fault)
+        return _as_not_run(await waiting)
+    finally:
+        waiting.cancel()
+
+
+def _is_final(result):
+    """Returns whether other regions need not be asked."""
+    return result.is_ok() or result.error.code == ResultCode.QUARANTINED
+
+
+async def _give_up(instance, waiting):
+    """Cancels a wait; a slot that arrived at the same moment is given back."""
+    waiting.cancel()
+    result = (await asyncio.gather(waiting, return_exceptions=True))[0]
+    if isinstance(result, Result) and result.is_ok():
+        release_slot(instance, result.ok, "cancelled", 0.0)
+
+
+def _as_not_run(result):
+    """Names a dispatcher that cannot be reached by the caller's code for it."""
+    if result.is_ok() or result.error.code != ResultCode.PEER_UNREACHABLE:
+        return result
+    return Error(Fault(ResultCode.NO_BACKEND, result.error.detail, 1000))
 
 
 def _hold_s(instance, forward):
@@ -179,6 +221,7 @@
 async def _attempt(instance, forward, slot, timeout_s) -> Result:
     """Sends the request on a slot; the slot is released on an error."""
     started_at = instance.clock.now()
+    late_at = started_at + LATE_SHARE * timeout_s
     outcome_name, result = "cancelled", None
     try:
         result = await send_request(
@@ -196,8 +239,13 @@
         return result
     finally:
         if result is None or result.is_error():
-            elapsed_ms = (instance.clock.now() - started_at) * 1000.0
-            release_slot(instance, slot, outcome_name, elapsed_ms)
+            now = instance.clock.now()
+            if result is None and now >= late_at:
+                # Another try was faster. To the dispatcher this one timed out, and
+                # what is still open to the server may have gone silent.
+                outcome_name = "timeout"
+                retire_connections(instance.backends, slot.server_id)
+            release_slot(instance, slot, outcome_name, (now - started_at) * 1000.0)
 
 
 async def _attempt_with_hedge(instance, forward, slot, timeout_s) -> Result:
@@ -206,7 +254,8 @@
     runs = {first}
     winner = None
     try:
-        await asyncio.wait(runs, timeout=forward.rules.hedge_after_ms / 1000.0)
+        delay_s = forward.rules.hedge_after_ms / 1000.0 or LATE_SHARE * timeout_s
+        await asyncio.wait(runs, timeout=delay_s)
         if not first.done() and withdraw(budget_of(instance, forward)):
             hold_s = _hold_s(instance, forward)
             avoid = [slot.server_id]
@@ -227,16 +276,21 @@
 
 
 async def _first_success(runs):
-    """Returns the first answer, or the last error when every run failed."""
-    waiting = set(runs)
-    while True:
+    """Returns the first answer, or an error when every run failed.
+
+    The error of a run that was sent goes before that of one that was not, so that
+    the caller is never told "not run" about a request that may have run.
+    """
+    waiting, failed = set(runs), None
+    while waiting:
         done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        results = [run.result() for run in done]
-        for result in results:
+        for run in done:
+            result = run.result()
             if result.is_ok():
                 return result
-        if not waiting:
-            return results[-1]
+            if failed is None or not failed.error.sent:
+                failed = result
+    return failed
 
 
 async def discard_answer(instance, forwarded):
@@ -267,7 +321,8 @@
         now = instance.clock.now()
         left_s = forward.deadline - now
         if is_quarantined(instance.crash_log, forward.fingerprint, now):
-            return Error(_quarantine_fault(instance, forward))
+            fault = fault if ran else _quarantine_fault(instance, forward)
+            break
         if left_s <= 0.0:
             break
         wait_s = min(left_s, forward.rules.queue_ms / 1000.0)
@@ -277,17 +332,16 @@
             fault = fault if ran else got.error
             break
         left_s = forward.deadline - instance.clock.now()
-        timeout_s = left_s
-        if idempotent and attempt == 0 and forward.rules.traffic_class == "lookup":
-            timeout_s = left_s * FIRST_TRY_SHARE
-        hedged = idempotent and forward.rules.hedge_after_ms > 0 and attempt == 0
+        is_lookup = forward.rules.traffic_class == "lookup"
+        hedged = idempotent and is_lookup and attempt == 0
         send = _attempt_with_hedge if hedged else _attempt
-        result = await send(instance, forward, got.ok, timeout_s)
+        result = await send(instance, forward, got.ok, left_s)
         if result.is_ok():
             return result
         outcome = result.error
+        if outcome.sent or not ran:
+            fault = outcome.fault
         ran = ran or outcome.sent
-        fault = outcome.fault
         avoid.append(got.ok.server_id)
         may_repeat = (idempotent or not outcome.sent) and replayable
         if not may_repeat or not withdraw(budget):
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -45,7 +45,7 @@
 MAX_WRITE_BACKLOG = 4_194_304
 """Unsent bytes on a stream after which the peer counts as stuck."""
 MEMBERS_PER_HEARTBEAT = 64
-HANDSHAKE_TIMEOUT_S = 3.0
+HANDSHAKE_TIMEOUT_S = 1.0
 AVOID_S = 2.0
 """Time for which a peer that did not answer is passed over (s)."""
 
@@ -395,6 +395,13 @@
         _send_heartbeat(instance, link)
 
 
+def suspect_peer(instance, name, incarnation):
+    """Suspects a peer that does not answer, and tells the others."""
+    if note_silence(instance.view, name, incarnation, instance.clock.now()):
+        logger.info("peer_suspected", extra={"peer": name})
+        announce(instance)
+
+
 async def run_heartbeats(instance):
     """Sends heartbeats and closes the streams that went silent, for ever."""
     cfg = instance.cfg
@@ -405,6 +412,7 @@
             if now - link.heard_at > cfg.heartbeat_timeout_s:
                 count(instance.metrics, "peer.silent_streams")
                 close_link(link)
+                suspect_peer(instance, link.remote_id, link.remote_incarnation)
                 continue
             _send_heartbeat(instance, link)
 
@@ -441,7 +449,5 @@
         if opened.is_ok():
             await asyncio.wait([opened.ok.closed])
             continue
-        if note_silence(instance.view, name, incarnation, instance.clock.now()):
-            logger.info("peer_suspected", extra={"peer": name})
-            announce(instance)
+        suspect_peer(instance, name, incarnation)
         await asyncio.sleep(interval_s)
--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -38,6 +38,8 @@
 
 FLUSH_INTERVAL_S = 1.0
 STOP_POLL_S = 0.05
+CUT_ANSWER_S = 1.0
+"""Time for telling the callers whose requests were cut (s)."""
 SEED_RETRY_S = 1.0
 RESTART_DELAY_S = 1.0
 
@@ -190,6 +192,8 @@
     stopping = asyncio.ensure_future(instance.stopping.wait())
     await asyncio.wait({*serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
     cut = await _drain(instance, cut_short)
+    await close_clients(instance.backends)
+    await _let_end(instance, CUT_ANSWER_S)
     for server in servers:
         server.should_exit = True
         server.force_exit = True
@@ -236,6 +240,13 @@
     return instance.in_flight
 
 
+async def _let_end(instance, timeout_s):
+    """Gives requests that were cut the time to be answered so."""
+    ends_at = instance.clock.now() + timeout_s
+    while instance.in_flight and instance.clock.now() < ends_at:
+        await asyncio.sleep(STOP_POLL_S)
+
+
 def _longest_ttl_s(instance):
     """Returns the longest time for which callers may cache a look-up (s)."""
     if instance.policy is None:
@@ -251,6 +262,5 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    await close_clients(instance.backends)
     await instance.store.session.close()
     flush_metrics(instance.metrics)
--- a/packages/decisions/src/flamingolift_decisions/servers.py
+++ b/packages/decisions/src/flamingolift_decisions/servers.py
@@ -132,6 +132,10 @@
         server.limit = min(float(server.slots), server.limit + 1.0 / server.limit)
         known = server.latency_ms or elapsed_ms
         server.latency_ms = known + LATENCY_WEIGHT * (elapsed_ms - known)
+    elif outcome == "cancelled":
+        # The answer would have taken at least this long.
+        if elapsed_ms > server.latency_ms > 0.0:
+            server.latency_ms += LATENCY_WEIGHT * (elapsed_ms - server.latency_ms)
     elif outcome in ("timeout", "not_run"):
         _decrease_limit(server, now)
         if outcome == "timeout":
--- a/spec/test_specs.py
+++ b/spec/test_specs.py
@@ -28,7 +28,16 @@
         check=True,
         capture_output=True,
     )
-    compile_command = ["cc", "-w", "-O2", "-DSAFETY", "-DCOLLAPSE", "-o", "pan", "pan.c"]
+    compile_command = [
+        "cc",
+        "-w",
+        "-O2",
+        "-DSAFETY",
+        "-DCOLLAPSE",
+        "-o",
+        "pan",
+        "pan.c",
+    ]
     subprocess.run(compile_command, cwd=folder, check=True, capture_output=True)
     done = subprocess.run(
         ["./pan", f"-m{DEPTH}", "-w24"], cwd=folder, capture_output=True, text=True
--- a/standins/src/flamingolift_standins/backend.py
+++ b/standins/src/flamingolift_standins/backend.py
@@ -25,6 +25,7 @@
         busy: Requests running.
         state: "up", "draining" or "crashed".
         slow: Factor on the time of a request.
+        echoes: Whether it echoes the exchange id of a request.
         reported_load: Load it reports instead of its own, or None.
         started: Times (loop clock, s) at which requests were started.
         peak: Most requests that ran at once.
@@ -39,6 +40,7 @@
         "busy",
         "cancelled",
         "crashes",
+        "echoes",
         "peak",
         "reported_load",
         "rng",
@@ -59,6 +61,7 @@
         self.busy = 0
         self.state = "up"
         self.slow = 1.0
+        self.echoes = True
         self.reported_load = None
         self.started = []
         self.peak = 0
@@ -144,6 +147,7 @@
         server.peak = max(server.peak, server.busy)
         server.started.append(asyncio.get_running_loop().time())
         server.transports.add(request.transport)
+        request["exchange_id"] = request.headers.get("Exchange-Id")
         try:
             return await answer(request)
         except (asyncio.CancelledError, ConnectionResetError):
@@ -210,7 +214,12 @@
         await resp.write_eof()
         return resp
 
+    async def echo_exchange_id(request, resp):
+        if server.echoes and request.get("exchange_id"):
+            resp.headers["Exchange-Id"] = request["exchange_id"]
+
     app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.on_response_prepare.append(echo_exchange_id)
     app.router.add_get("/health", health)
     app.router.add_get("/load", load)
     app.router.add_route("*", "/{path:.*}", run)
--- a/standins/src/flamingolift_standins/faultproxy.py
+++ b/standins/src/flamingolift_standins/faultproxy.py
@@ -1,6 +1,7 @@
 """TCP proxy that injects network faults, for tests."""
 
 import asyncio
+import contextlib
 
 __all__ = ["FaultProxy", "start_proxy"]
 
@@ -85,6 +86,11 @@
             return
         key = (proxy.accepted, writer, back_writer)
         proxy.connections.add(key)
+        with contextlib.suppress(asyncio.CancelledError):
+            await carry(key, reader, back_reader)
+
+    async def carry(key, reader, back_reader):
+        _, writer, back_writer = key
         try:
             await asyncio.gather(
                 _pass(proxy, key, reader, back_writer, False),
