--- a/packages/decisions/src/flamingolift_decisions/pool.py
+++ b/packages/decisions/src/flamingolift_decisions/pool.py
@@ -205,10 +205,15 @@
     grant = Grant(pool.next_grant_id, server, request, now + request.hold_s)
     pool.next_grant_id += 1
     pool.grants[grant.grant_id] = grant
-    server.granted += 1
+    _add_granted(server)
     return grant
 
 
+def _add_granted(server):
+    server.granted += 1
+    server.granted_peak = max(server.granted_peak, server.granted)
+
+
 def enqueue(pool, request, wait_s, token, now) -> Result:
     """Grants a slot at once or queues the request.
 
@@ -329,4 +334,4 @@
     if server is None or grant_id in pool.grants:
         return
     pool.grants[grant_id] = Grant(grant_id, server, request, now + request.hold_s)
-    server.granted += 1
+    _add_granted(server)
--- a/packages/decisions/src/flamingolift_decisions/servers.py
+++ b/packages/decisions/src/flamingolift_decisions/servers.py
@@ -41,7 +41,8 @@
         ramp_s: Length of the ramp (s).
         ejected_until: End of an ejection (s, monotonic).
         failures: Consecutive failures.
-        reported_busy: Busy slots by its load endpoint, or None.
+        granted_peak: Most slots granted at once since the last probe.
+        external: Busy slots at the last report that this dispatcher did not grant.
         reported_at: Time of that report (s, monotonic).
         reduced_at: Time of the last decrease of `limit` (s, monotonic).
         latency_ms: Smoothed time of a request (ms).
@@ -52,8 +53,10 @@
         "drain_sources",
         "ejected_until",
         "entry",
+        "external",
         "failures",
         "granted",
+        "granted_peak",
         "healthy",
         "latency_ms",
         "limit",
@@ -62,7 +65,6 @@
         "ramp_started_at",
         "reduced_at",
         "reported_at",
-        "reported_busy",
         "slots",
     )
 
@@ -71,13 +73,14 @@
         self.slots = slots
         self.limit = float(slots)
         self.granted = 0
+        self.granted_peak = 0
         self.healthy = None
         self.drain_sources = set()
         self.ramp_s = ramp_s
         self.ramp_started_at = now if cold else -math.inf
         self.ejected_until = -math.inf
         self.failures = 0
-        self.reported_busy = None
+        self.external = 0
         self.reported_at = -math.inf
         self.reduced_at = -math.inf
         self.latency_ms = 0.0
@@ -112,10 +115,9 @@
 
 def _external_busy(server, now):
     """Returns busy slots that this dispatcher did not grant."""
-    if server.reported_busy is None or now - server.reported_at > REPORT_FRESH_S:
-        return 0.0
-    external = max(0.0, server.reported_busy - server.granted)
-    return min(external, math.floor(server.slots * EXTERNAL_SHARE_MAX))
+    if now - server.reported_at > REPORT_FRESH_S:
+        return 0
+    return min(server.external, math.floor(server.slots * EXTERNAL_SHARE_MAX))
 
 
 def note_outcome(server, outcome, elapsed_ms, now):
@@ -181,8 +183,11 @@
     server.healthy = alive
     set_drain(server, "health", draining, now)
     if busy is not None:
-        server.reported_busy = busy
+        # The report is older than the grants known now: it is compared with the
+        # most that were out since the last probe.
+        server.external = max(0, busy - server.granted_peak)
         server.reported_at = now
+    server.granted_peak = server.granted
 
 
 def set_drain(server, source, draining, now):
--- a/standins/src/flamingolift_standins/fleet.py
+++ b/standins/src/flamingolift_standins/fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -11,13 +12,22 @@
 
 import aiohttp
 
-__all__ = ["Fleet", "FleetInstance", "free_ports", "start_fleet", "wait_until"]
+__all__ = [
+    "Fleet",
+    "FleetInstance",
+    "Network",
+    "free_ports",
+    "start_fleet",
+    "wait_until",
+]
 
 PEER_KEYS = "k1:" + "a1" * 16
 TICKET_KEYS = "t1:" + "b2" * 16
 OPERATOR_KEY = "c3" * 16
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 class FleetInstance:
@@ -27,9 +37,11 @@
         name: Instance name.
         region: Region name.
         failure_domain: Failure domain name.
+        host: IP address.
         caller_port: TCP port for callers.
         operator_port: TCP port for operators.
         peer_port: TCP port for peers.
+        front_port: TCP port announced to peers; a delaying front may stand there.
         process: Process, or None.
         log_path: File that its log goes to.
     """
@@ -37,6 +49,8 @@
     __slots__ = (
         "caller_port",
         "failure_domain",
+        "front_port",
+        "host",
         "log_path",
         "name",
         "operator_port",
@@ -45,11 +59,13 @@
         "region",
     )
 
-    def __init__(self, name, region, failure_domain, ports, log_path):
+    def __init__(self, name, region, failure_domain, host, ports, log_path):
+        self.host = host
         self.name = name
         self.region = region
         self.failure_domain = failure_domain
         self.caller_port, self.operator_port, self.peer_port = ports
+        self.front_port = self.peer_port
         self.process = None
         self.log_path = log_path
 
@@ -59,17 +75,45 @@
             "instance_id": self.name,
             "region": self.region,
             "failure_domain": self.failure_domain,
-            "host": "127.0.0.1",
+            "host": self.host,
             "caller_port": self.caller_port,
             "operator_port": self.operator_port,
-            "peer_port": self.peer_port,
+            "peer_port": self.front_port,
             "state": state,
         }
 
     @property
     def url(self):
         """Base URL for callers."""
-        return f"http://127.0.0.1:{self.caller_port}"
+        return f"http://{self.host}:{self.caller_port}"
+
+
+class Network:
+    """Delays between regions, told apart by the second number of the address.
+
+    Attributes:
+        numbers: Map of region to the second number of its addresses.
+        within_s: One-way delay within a region (s).
+        between_s: One-way delay between regions (s).
+    """
+
+    __slots__ = ("between_s", "numbers", "within_s")
+
+    def __init__(self, numbers, within_s, between_s):
+        self.numbers = numbers
+        self.within_s = within_s
+        self.between_s = between_s
+
+    def number(self, region):
+        """Returns the second number of a region's addresses."""
+        return self.numbers[region]
+
+    def round_trips(self, region):
+        """Returns the round trips to a region (s), by the source's number."""
+        return {
+            str(number): 2.0 * (self.within_s if name == region else self.between_s)
+            for name, number in self.numbers.items()
+        }
 
 
 class Fleet:
@@ -117,15 +161,14 @@
 
 
 def free_ports(count):
-    """Returns TCP ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Returns TCP ports that are free now, below those of outgoing connections."""
+    found = set()
+    while len(found) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("0.0.0.0", port))
+            found.add(port)
+    return list(found)
 
 
 async def wait_until(check, timeout_s=START_TIMEOUT_S, what="condition"):
@@ -166,13 +209,13 @@
 
 def instance_environment(fleet, inst):
     """Returns the environment of an instance's process."""
-    seeds = [
-        f"127.0.0.1:{i.peer_port}" for i in fleet.instances.values() if i is not inst
-    ]
+    others = [other for other in fleet.instances.values() if other is not inst]
+    seeds = [f"{other.host}:{other.front_port}" for other in others]
     values = {
         "INSTANCE_ID": inst.name,
         "REGION": inst.region,
         "FAILURE_DOMAIN": inst.failure_domain,
+        "HOST": inst.host,
         "CALLER_PORT": inst.caller_port,
         "OPERATOR_PORT": inst.operator_port,
         "PEER_PORT": inst.peer_port,
@@ -201,7 +244,7 @@
             if inst.name not in without
         ],
         "backend_servers": [
-            {k: v for k, v in entry.items() if k != "time_ms"}
+            {name: entry[name] for name in entry if name not in ("time_ms", "delays")}
             for entry in fleet.backends
         ],
     }
@@ -249,13 +292,21 @@
 async def operator_get(fleet, inst, path):
     """Returns an operator's page of an instance."""
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-    url = f"http://127.0.0.1:{inst.operator_port}{path}"
+    url = f"http://{inst.host}:{inst.operator_port}{path}"
     async with fleet.session.get(url, headers=headers) as resp:
         return await resp.json()
 
 
 async def start_fleet(
-    regions, per_domain, services, folder, *, options=None, backend_processes=2
+    regions,
+    per_domain,
+    services,
+    folder,
+    *,
+    options=None,
+    backend_processes=2,
+    instances=None,
+    network=None,
 ):
     """Starts a fleet without a policy.
 
@@ -266,6 +317,8 @@
         folder: Folder for the logs.
         options: Extra settings for every instance.
         backend_processes: Processes that host the backend servers.
+        instances: Number of instances; overrides `per_domain`.
+        network: Network with the delays between regions, or None for no delay.
 
     Returns:
         Fleet whose store and backend servers run; instances are started by
@@ -275,8 +328,8 @@
     fleet.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     domains = [(r, d) for r, names in regions.items() for d in names]
     server_count = sum(count for _, count, _, _ in services)
-    instance_count = per_domain * len(domains)
-    ports = free_ports(1 + server_count + backend_processes + 3 * instance_count)
+    instance_count = instances or per_domain * len(domains)
+    ports = free_ports(1 + server_count + backend_processes + 4 * instance_count)
     fleet.store_port = ports.pop()
     for service, count, slots, time_ms in services:
         for number in range(count):
@@ -291,6 +344,7 @@
                     "port": ports.pop(),
                     "slots": slots,
                     "time_ms": time_ms,
+                    "delays": network.round_trips(region) if network else {},
                 }
             )
     store = _spawn(
@@ -310,13 +364,34 @@
         region, domain = domains[number % len(domains)]
         name = f"{domain}-{number // len(domains) + 1}"
         trio = [ports.pop() for _ in range(3)]
+        host = f"127.{network.number(region)}.0.1" if network else "127.0.0.1"
         log_path = os.path.join(fleet.folder, f"{name}.log")
-        fleet.instances[name] = FleetInstance(name, region, domain, trio, log_path)
+        inst = FleetInstance(name, region, domain, host, trio, log_path)
+        fleet.instances[name] = inst
+        if network:
+            inst.front_port = ports.pop()
+    if network:
+        await _start_fronts(fleet, network)
     await wait_until(lambda: _store_is_up(fleet), what="store")
     await wait_until(lambda: backend_reports(fleet), what="backend servers")
     return fleet
 
 
+async def _start_fronts(fleet, network):
+    """Starts one process of delaying fronts for each region."""
+    for region in fleet.regions:
+        fronts = [
+            (inst.host, inst.front_port, inst.peer_port)
+            for inst in fleet.instances.values()
+            if inst.region == region
+        ]
+        delays = {k: v / 2.0 for k, v in network.round_trips(region).items()}
+        args = ("--fronts", json.dumps(fronts), "--delays", json.dumps(delays))
+        name = f"front-{region}"
+        process = _spawn(fleet, name, "flamingolift_standins.delayfront", *args)
+        fleet.processes.append(await process)
+
+
 async def _store_is_up(fleet):
     async with fleet.session.get(f"{fleet.store_url}/admin/stats") as resp:
         return resp.status == 200
