Clear requests that succeed from the suspects of a crash

Cause: 30 s of load ended in 422 for every look-up. Six answers without an exchange id counted as crashes; the same popular look-up was in flight at each and was convicted. Ruled out: exhausted ports (9,879 in TIME_WAIT, no connect error in the logs). Conclusion: common to all crashes is not enough; never having succeeded is needed too.

--- a/packages/daemon/src/flamingolift_daemon/backendclient.py
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -343,7 +343,7 @@
     count(clients.metrics, "answers.crossed")
     retire_connections(clients, slot.server_id)
     detail = f"{slot.server_id} answered another request"
-    return Outcome("crashed", True, Fault(ResultCode.BACKEND_FAILED, detail))
+    return Outcome("ok", True, Fault(ResultCode.BACKEND_FAILED, detail))
 
 
 def _judge_head(slot, method, resp, connections):
--- a/packages/decisions/src/flamingolift_decisions/pool.py
+++ b/packages/decisions/src/flamingolift_decisions/pool.py
@@ -13,6 +13,7 @@
     CrashLog,
     is_quarantined,
     note_crash,
+    note_success,
 )
 from flamingolift_decisions.servers import (
     BackendServer,
@@ -295,6 +296,8 @@
     server = grant.server
     server.granted -= 1
     note_outcome(server, outcome, elapsed_ms, now)
+    if outcome == "ok" and grant.request.fingerprint:
+        note_success(pool.crashes, grant.request.fingerprint)
     if outcome != "crashed":
         return None
     name = server.entry.server_id
--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -8,6 +8,7 @@
     "fingerprint_request",
     "is_quarantined",
     "note_crash",
+    "note_success",
     "remaining_s",
 ]
 
@@ -100,6 +101,21 @@
     return None
 
 
+def note_success(log, fingerprint):
+    """Clears a request that ran to its end.
+
+    Args:
+        log: CrashLog.
+        fingerprint: Fingerprint of the request.
+
+    Notes:
+        A popular look-up is in flight on every server that crashes. What tells it
+        from a request that crashes each server is that it also succeeds.
+    """
+    for crash in log.crashes:
+        crash.suspects.discard(fingerprint)
+
+
 def _merge(log, server_id, suspects, now):
     """Returns the crash that a report belongs to, a new one if need be."""
     for crash in reversed(log.crashes):
--- a/packages/decisions/src/flamingolift_decisions/tests/test_pool.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_pool.py
@@ -175,6 +175,14 @@
     assert later.is_ok()
 
 
+def test_popular_request_is_not_convicted_by_crashes_that_it_outlives():
+    pool = make_pool(names=["s1"])
+    for at in (0.0, 10.0, 20.0, 30.0):
+        assert crash_with(pool, ["popular"], at) is None
+        grant = enqueue(pool, make_request(fingerprint="popular"), 0.0, None, at + 5.0)
+        release_grant(pool, grant.ok.grant_id, "ok", 5.0, at + 5.1)
+
+
 def test_two_requests_that_always_crash_together_are_not_told_apart():
     pool = make_pool(names=["s1"])
     for at in (0.0, 10.0, 20.0):
