Close retired pools, give late grants back, keep a reserve from other regions

Found in turn: (1) pools of former dispatchers stayed and were counted in the capacity, so the planner overfilled one region; (2) grants that came after the asker had given up were dropped and kept until they expired; (3) with two streams between a pair each side sent heartbeats on its own, the other stream fell silent and a live dispatcher was suspected (6 in 20 s); (4) requests spilled to another region hold a slot 140 ms longer and took the last free ones there. Change: each of the four mended; the slot is released when the last byte is read; demand counts time on the backend server, not in the queue. Ruled out: processor time (entry 27 %, stand-ins 20 % of a core).

--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -275,13 +275,22 @@
     finally:
         await body.aclose()
         instance.in_flight -= 1
-        _note_end(instance, request, origin, started_at)
+        _note_end(instance, request, origin, started_at, forwarded.started_at)
 
 
-def _note_end(instance, request, origin, started_at):
-    """Records the time of one request for the histograms and the planner."""
-    elapsed_s = instance.clock.now() - started_at
+def _note_end(instance, request, origin, started_at, sent_at=None):
+    """Records the time of one request for the histograms and the planner.
+
+    Args:
+        instance: Instance.
+        request: Forward.
+        origin: Caller's origin region.
+        started_at: Time at which the request arrived (s, monotonic).
+        sent_at: Time at which it was sent to a backend server, if known (s).
+    """
+    now = instance.clock.now()
+    elapsed_s = now - started_at
     metrics = instance.metrics
     observe_ms(metrics, request.service, request.rules.traffic_class, elapsed_s * 1000)
     observe_ms(metrics, request.service, f"tenant:{request.tenant}", elapsed_s * 1000)
-    note_busy(instance, request.service, origin, elapsed_s)
+    note_busy(instance, request.service, origin, now - (sent_at or started_at))
--- a/packages/daemon/src/flamingolift_daemon/dispatching.py
+++ b/packages/daemon/src/flamingolift_daemon/dispatching.py
@@ -48,6 +48,8 @@
 """Time in which a new dispatcher holds back half of the slots (s)."""
 PUMP_INTERVAL_S = 0.02
 """Time between looks at waiters whose time is up (s)."""
+RETIRE_AFTER_S = 3.0
+"""Age from which an empty pool is closed where another instance dispatches (s)."""
 ANSWER_SLACK_S = 0.5
 DISPATCHER_TRIES = 3
 
@@ -159,6 +161,7 @@
         message.fingerprint,
         message.hold_ms / 1000.0,
         message.avoid,
+        is_foreign=_is_foreign(instance, link.remote_id),
     )
     wait_s = message.wait_ms / 1000.0
     queued = enqueue(pool, request, wait_s, resolve, instance.clock.now())
@@ -167,6 +170,12 @@
     return _as_message(queued.ok) if isinstance(queued.ok, Grant) else None
 
 
+def _is_foreign(instance, name):
+    """Returns whether an instance is known to be in another region."""
+    entry = instance.view.entries.get(name)
+    return entry is not None and entry.region != instance.cfg.region
+
+
 def handle_release(instance, link, message, call_id):
     """Takes back a slot that a peer no longer uses."""
     _release_in_pool(
@@ -244,6 +253,15 @@
         _pump(instance, pool)
 
 
+def _is_retired(instance, pool, service, region, now):
+    """Returns whether another instance dispatches, and this pool is empty."""
+    chosen = choose_dispatcher(instance.serving, service, region)
+    if chosen is not None and chosen.instance_id == instance.cfg.instance_id:
+        return service not in instance.policy.services and not pool.grants
+    idle = not pool.grants and not pool.queue.size
+    return idle and now - pool.started_at > RETIRE_AFTER_S
+
+
 async def run_pools(instance):
     """Refuses late waiters and takes over list and policy changes, for ever."""
     synced = None
@@ -257,9 +275,10 @@
         )
         for (service, region), pool in list(instance.pools.items()):
             if state != synced:
+                if _is_retired(instance, pool, service, region, now):
+                    del instance.pools[service, region]
+                    continue
                 if service not in instance.policy.services:
-                    if not pool.grants:
-                        del instance.pools[service, region]
                     continue
                 _sync_pool(instance, pool, service, region)
                 expired = expire_grants(pool, now)
@@ -368,21 +387,17 @@
     link = opened.ok
     await _tell_holdings(instance, link, region, message.service)
     timeout_s = message.wait_ms / 1000.0 + ANSWER_SLACK_S
-    call = start_task(instance, call_peer(link, message, timeout_s))
-    try:
-        return await asyncio.shield(call)
-    except asyncio.CancelledError:
-        call.add_done_callback(lambda done: _give_back(done, link, message.service))
-        raise
 
+    def give_back(answer):
+        """Releases a grant that nobody waits for any more."""
+        if isinstance(answer, peer.Grant):
+            count(instance.metrics, "slots.late")
+            release = peer.Release(
+                service=message.service, grant_id=answer.grant_id, outcome="cancelled"
+            )
+            send_message(link, release)
 
-def _give_back(call, link, service):
-    """Releases a grant whose request was cancelled while it waited."""
-    if call.cancelled() or call.exception() is not None or call.result().is_error():
-        return
-    grant_id = call.result().ok.grant_id
-    release = peer.Release(service=service, grant_id=grant_id, outcome="cancelled")
-    send_message(link, release)
+    return await call_peer(link, message, timeout_s, give_back)
 
 
 async def _tell_holdings(instance, link, region, service):
--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -185,9 +185,10 @@
                 return got
             until = instance.clock.now() + REGION_REFUSAL_S
             instance.unreachable[forward.service, region] = until
-        return _as_not_run(await waiting)
-    finally:
-        waiting.cancel()
+        return _as_not_run(await asyncio.shield(waiting))
+    except asyncio.CancelledError:
+        await _give_up(instance, waiting)
+        raise
 
 
 def _is_final(result):
@@ -387,11 +388,13 @@
                 if isinstance(chunk, Fault):
                     outcome = "crashed"
                     break
+                if current.answer.resp.content.at_eof():
+                    # The backend server is free before the caller has it all.
+                    _release_now(instance, current, "ok")
                 yield chunk
                 position += len(chunk)
         finally:
-            elapsed_ms = (instance.clock.now() - current.started_at) * 1000.0
-            release_slot(instance, current.slot, outcome, elapsed_ms)
+            _release_now(instance, current, outcome)
             await close_answer(current.answer)
         current = await _resume(instance, forward, forwarded, position, current)
         if current is None:
@@ -399,6 +402,12 @@
             raise FaultError(chunk)
 
 
+def _release_now(instance, forwarded, outcome):
+    """Gives back the slot of an answer; the second time does nothing."""
+    elapsed_ms = (instance.clock.now() - forwarded.started_at) * 1000.0
+    release_slot(instance, forwarded.slot, outcome, elapsed_ms)
+
+
 async def _read_chunk(answer):
     """Returns the next chunk, None at the whole end, or a Fault at a cut."""
     try:
--- a/packages/daemon/src/flamingolift_daemon/instance.py
+++ b/packages/daemon/src/flamingolift_daemon/instance.py
@@ -38,7 +38,9 @@
         pools: Map of (service, region) to SlotPool that this instance
             dispatches.
         held_slots: Map of (service, region) to a set of Slots in use here.
-        links: Map of instance to its open PeerLink.
+        links: Map of instance to the PeerLink that messages to it take.
+        streams: Set of all open PeerLinks; two instances that dial each other at
+            the same moment have two.
         dialing: Map of instance to the future of a stream being opened.
         handlers: Map of message class to the function that handles it.
         budgets: Map of service to RetryBudget.
@@ -84,6 +86,7 @@
         "shelf",
         "stopping",
         "store",
+        "streams",
         "tasks",
         "ticket_keys",
         "unreachable",
@@ -127,6 +130,7 @@
         self.pools = {}
         self.held_slots = {}
         self.links = {}
+        self.streams = set()
         self.dialing = {}
         self.handlers = {}
         self.budgets = {}
--- a/packages/daemon/src/flamingolift_daemon/load.py
+++ b/packages/daemon/src/flamingolift_daemon/load.py
@@ -1,6 +1,7 @@
 """Load that this instance's callers cause, by service and origin region."""
 
 from flamingolift_decisions.pool import pool_capacity
+from flamingolift_decisions.topology import choose_dispatcher
 from flamingolift_model.plan import ServiceLoad
 
 __all__ = ["LoadMeter", "note_busy", "sample_load"]
@@ -40,6 +41,12 @@
     meter.busy_s += busy_s
 
 
+def _is_dispatcher(instance, service, region):
+    """Returns whether this instance is the one that dispatches a pool."""
+    chosen = choose_dispatcher(instance.serving, service, region)
+    return chosen is not None and chosen.instance_id == instance.cfg.instance_id
+
+
 def sample_load(instance, interval_s):
     """Closes an interval and returns the load of each service.
 
@@ -60,7 +67,8 @@
     now = instance.clock.now()
     capacity = {
         service: pool_capacity(pool, now)
-        for (service, _), pool in instance.pools.items()
+        for (service, region), pool in instance.pools.items()
+        if _is_dispatcher(instance, service, region)
     }
     return [
         ServiceLoad(
--- a/packages/daemon/src/flamingolift_daemon/operatorapi.py
+++ b/packages/daemon/src/flamingolift_daemon/operatorapi.py
@@ -62,6 +62,10 @@
         },
         "links": sorted(instance.links),
         "pools": [_render_pool(key, pool, now) for key, pool in instance.pools.items()],
+        "held_slots": {
+            f"{service}@{region}": len(slots)
+            for (service, region), slots in sorted(instance.held_slots.items())
+        },
         "quarantined": sorted(instance.crash_log.quarantined),
         "bookings": len(instance.bookings.records),
         "store_calls": instance.store.calls,
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -61,6 +61,7 @@
         sending: FrameState of the sending direction.
         receiving: FrameState of the receiving direction.
         calls: Map of call id to the future of its answer.
+        late: Map of call id to the function that takes an answer nobody awaits.
         call_ids: Iterator of call ids.
         cursor: Membership sequence that the peer was told.
         remote_versions: Document numbers that the peer announced.
@@ -75,6 +76,7 @@
         "closed",
         "cursor",
         "heard_at",
+        "late",
         "reader",
         "receiving",
         "remote_id",
@@ -93,6 +95,7 @@
         self.sending = sending
         self.receiving = receiving
         self.calls = {}
+        self.late = {}
         self.call_ids = itertools.count(1)
         self.cursor = 0
         self.remote_versions = {}
@@ -138,13 +141,14 @@
     link.calls.clear()
 
 
-async def call_peer(link, message, timeout_s) -> Result:
+async def call_peer(link, message, timeout_s, on_late=None) -> Result:
     """Sends a message and waits for its answer.
 
     Args:
         link: PeerLink.
         message: Message of the schema.
         timeout_s: Longest wait (s).
+        on_late: Function of an answer that comes after the wait, or None.
 
     Returns:
         Ok with the answering message; Error with a Fault when the peer refused,
@@ -162,7 +166,8 @@
     except TimeoutError:
         return Error(Fault(ResultCode.PEER_UNREACHABLE, "no answer in time"))
     finally:
-        link.calls.pop(call_id, None)
+        if link.calls.pop(call_id, None) is not None and on_late is not None:
+            link.late[call_id] = on_late
     if isinstance(answer, Result):
         return answer
     if isinstance(answer, Refusal):
@@ -253,6 +258,7 @@
     former = instance.links.get(link.remote_id)
     if former is None or former.remote_incarnation <= link.remote_incarnation:
         instance.links[link.remote_id] = link
+    instance.streams.add(link)
     if note_contact(
         instance.view, link.remote_id, link.remote_incarnation, link.heard_at
     ):
@@ -320,6 +326,7 @@
         pass
     finally:
         close_link(link)
+        instance.streams.discard(link)
         if instance.links.get(link.remote_id) is link:
             del instance.links[link.remote_id]
 
@@ -338,6 +345,9 @@
         future = link.calls.pop(reply_to, None)
         if future is None or future.done():
             count(instance.metrics, "peer.late_answers")
+            on_late = link.late.pop(reply_to, None)
+            if on_late is not None:
+                on_late(message)
         else:
             future.set_result(message)
         return
@@ -393,14 +403,14 @@
 
 def broadcast(instance, message, except_link=None):
     """Sends a message on every open stream but one."""
-    for link in list(instance.links.values()):
+    for link in list(instance.streams):
         if link is not except_link:
             send_message(link, message)
 
 
 def announce(instance):
     """Sends a heartbeat at once on every stream, after a change."""
-    for link in list(instance.links.values()):
+    for link in list(instance.streams):
         _send_heartbeat(instance, link)
 
 
@@ -417,7 +427,7 @@
     while True:
         await asyncio.sleep(cfg.heartbeat_interval_s)
         now = instance.clock.now()
-        for link in list(instance.links.values()):
+        for link in list(instance.streams):
             if now - link.heard_at > cfg.heartbeat_timeout_s:
                 count(instance.metrics, "peer.silent_streams")
                 close_link(link)
--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -258,7 +258,7 @@
 
 async def _close(instance):
     """Cancels the background tasks and closes the connections."""
-    for link in list(instance.links.values()):
+    for link in list(instance.streams):
         peerlinks.close_link(link)
     tasks = [t for t in instance.tasks if t is not asyncio.current_task()]
     for task in tasks:
--- a/packages/decisions/src/flamingolift_decisions/pool.py
+++ b/packages/decisions/src/flamingolift_decisions/pool.py
@@ -41,6 +41,8 @@
 QUEUE_PER_SLOT = 8
 """Waiters allowed for each slot of the pool."""
 MIN_QUEUE = 64
+FOREIGN_RESERVE = 0.1
+"""Share of a pool's slots that other regions leave free (ratio)."""
 RETRY_AFTER_MS = 1000
 
 
@@ -53,11 +55,20 @@
         fingerprint: Fingerprint of the request; empty for none.
         hold_s: Longest time that the slot is held (s).
         avoid: Set of backend server names not to use.
+        is_foreign: Whether the holder is in another region.
     """
 
-    __slots__ = ("avoid", "fingerprint", "hold_s", "holder", "tenant")
+    __slots__ = (
+        "avoid",
+        "fingerprint",
+        "hold_s",
+        "holder",
+        "is_foreign",
+        "tenant",
+    )
 
-    def __init__(self, holder, tenant, fingerprint, hold_s, avoid=()):
+    def __init__(self, holder, tenant, fingerprint, hold_s, avoid=(), is_foreign=False):
+        self.is_foreign = is_foreign
         self.holder = holder
         self.tenant = tenant
         self.fingerprint = fingerprint
@@ -231,6 +242,8 @@
     """
     if is_quarantined(pool.crashes, request.fingerprint, now):
         return Error(Fault(ResultCode.QUARANTINED, "crashed backend servers", 0))
+    if request.is_foreign and not _has_spare(pool, now):
+        return Error(Fault(ResultCode.OVERLOADED, "no spare slot", RETRY_AFTER_MS))
     if pool.queue.size == 0:
         grant = try_grant(pool, request, now)
         if grant is not None:
@@ -245,6 +258,11 @@
     return Ok(waiter)
 
 
+def _has_spare(pool, now):
+    """Returns whether other regions may use slots, which cost them more time."""
+    return free_slots(pool, now) > FOREIGN_RESERVE * pool_capacity(pool, now)
+
+
 def _may_recover(pool, now):
     """Returns whether an ejected server will be tried again within a second."""
     return any(
