--- a/bench/peers.py
+++ b/bench/peers.py
@@ -21,7 +21,9 @@
 
 __all__ = ["measure_peers"]
 
-SETTLE_S = 6.0
+SETTLE_S = 5.0
+SETTLE_S_EACH = 0.05
+"""Time that one process needs for each of its peers to know the others (s)."""
 SPREAD_TIMEOUT_S = 30.0
 POLL_S = 0.005
 
@@ -85,7 +87,7 @@
             lambda i: distribution.run_membership(i, lambda *_: None),
         ):
             tasks.append(asyncio.ensure_future(run(instance)))
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(SETTLE_S + SETTLE_S_EACH * count)
     head = PolicyHead(number=1, text=RAIL.policy)
     spread = [await time_spread(instances, encode_document(head), 1)]
     process = psutil.Process()
@@ -132,7 +134,7 @@
             peerlinks.close_link(link)
     for task in tasks:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.wait(tasks, timeout=5.0)
     for instance in instances:
         await instance.store.session.close()
         await instance.backends.fresh.session.close()
--- a/packages/daemon/src/flamingolift_daemon/distribution.py
+++ b/packages/daemon/src/flamingolift_daemon/distribution.py
@@ -20,7 +20,7 @@
 from flamingolift_daemon.instance import pulse, refresh_view
 from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import announce, send_message
+from flamingolift_daemon.peerlinks import announce, announce_soon, send_message
 
 __all__ = [
     "KINDS",
@@ -129,7 +129,7 @@
     changed = [apply_state(instance.view, state, now) for state in message.members]
     if any(changed):
         refresh_view(instance)
-        announce(instance)
+        announce_soon(instance)
     link.remote_versions = message.versions
     for kind, number in message.versions.items():
         if kind in KINDS and is_newer(instance.shelf, kind, number):
--- a/packages/daemon/src/flamingolift_daemon/instance.py
+++ b/packages/daemon/src/flamingolift_daemon/instance.py
@@ -45,6 +45,7 @@
         dialing: Map of instance to the future of a stream being opened.
         handlers: Map of message class to the function that handles it.
         budgets: Map of service to RetryBudget.
+        announcing: Task of the next announcement of changes, or None.
         backends: BackendClients.
         load: Map of (service, origin region) to a LoadMeter.
         samples: Map of instance to its last (time, LoadSample).
@@ -57,6 +58,7 @@
     """
 
     __slots__ = (
+        "announcing",
         "backends",
         "booking_waits",
         "bookings",
@@ -134,6 +136,7 @@
         self.held_slots = {}
         self.links = {}
         self.streams = set()
+        self.announcing = None
         self.dialing = {}
         self.handlers = {}
         self.budgets = {}
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -33,6 +33,7 @@
     "PeerLink",
     "accept_peer",
     "announce",
+    "announce_soon",
     "broadcast",
     "call_peer",
     "close_link",
@@ -46,6 +47,8 @@
 """Unsent bytes on a stream after which the peer counts as stuck."""
 MEMBERS_PER_HEARTBEAT = 64
 HANDSHAKE_TIMEOUT_S = 1.0
+ANNOUNCE_DELAY_S = 0.1
+"""Time for which changes of membership are gathered before they are told (s)."""
 AVOID_S = 2.0
 """Time for which a peer that did not answer is passed over (s)."""
 
@@ -418,7 +421,18 @@
     """Suspects a peer that does not answer, and tells the others."""
     if note_silence(instance.view, name, incarnation, instance.clock.now()):
         logger.info("peer_suspected", extra={"peer": name})
-        announce(instance)
+        announce_soon(instance)
+
+
+def announce_soon(instance):
+    """Sends a heartbeat on every stream after a moment, once for many changes."""
+    if instance.announcing is None or instance.announcing.done():
+        instance.announcing = start_task(instance, _announce_later(instance))
+
+
+async def _announce_later(instance):
+    await asyncio.sleep(ANNOUNCE_DELAY_S)
+    announce(instance)
 
 
 async def run_heartbeats(instance):
@@ -453,8 +467,9 @@
             kept.pop(name).cancel()
         for name in wanted - set(kept):
             kept[name] = start_task(instance, _keep_peer(instance, name))
-        with contextlib.suppress(asyncio.TimeoutError):
-            await asyncio.wait_for(changed.wait(), cfg.heartbeat_interval_s * 5)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(cfg.heartbeat_interval_s * 5):
+                await changed.wait()
 
 
 async def _keep_peer(instance, name):
--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -42,6 +42,7 @@
 """Time for telling the callers whose requests were cut (s)."""
 SEED_RETRY_S = 1.0
 RESTART_DELAY_S = 1.0
+CLOSE_TIMEOUT_S = 2.0
 
 
 def make_instance(cfg):
@@ -263,6 +264,7 @@
     tasks = [t for t in instance.tasks if t is not asyncio.current_task()]
     for task in tasks:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    if tasks:
+        await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT_S)
     await instance.store.session.close()
     flush_metrics(instance.metrics)
