End the search of the capped step when no share fits

Cause: the property test of the step hung. With a budget below the rounding of the move at a share of 0 the search repeated for ever; an instance would have stood still. Change: a share of 0 ends the search and moves nobody. Conclusion: the loop lowers the share strictly, so it ends.

--- a/packages/decisions/src/flamingolift_decisions/shifts.py
+++ b/packages/decisions/src/flamingolift_decisions/shifts.py
@@ -174,6 +174,8 @@
         service, origin = place
         old, new = old_rows[service][origin], new_rows[service][origin]
         share = _largest_share(old, new, budget, share)
+        if share <= 0.0:
+            return blend_rows(old_rows, new_rows, 0.0), 0.0
         rows = blend_rows(old_rows, new_rows, share)
         moved, place = _worst_row(old_rows, rows)
     return rows, moved
