--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -105,7 +105,9 @@
             )
             found["drains"] = await measure_drains(fleet, deployment, 6.0)
             found["configuration"] = await measure_configuration(fleet, deployment, 5)
-            found["http_lookups"] = await micro.measure_http_lookups(fleet, 4.0)
+            found["http_lookups"] = await micro.measure_http_lookups(
+                fleet, deployment.lookup, 4.0
+            )
     return found
 
 
--- a/bench/micro.py
+++ b/bench/micro.py
@@ -308,7 +308,7 @@
     return 1.0 / each
 
 
-async def measure_http_lookups(fleet, seconds):
+async def measure_http_lookups(fleet, service, seconds):
     """Measures look-ups over HTTP at one instance, closed loop.
 
     Returns:
@@ -324,7 +324,7 @@
         while time.monotonic() < ends_at:
             number = (number + 7) % 60_000
             client = f"127.11.{number // 250 % 250}.{number % 250}"
-            url = f"{inst.url}/v1/lookup?service=timetable&client={client}"
+            url = f"{inst.url}/v1/lookup?service={service}&client={client}"
             async with session.get(url) as resp:
                 await resp.read()
                 done += resp.status == 200
