--- a/bench/demo.py
+++ b/bench/demo.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import json
-import os
 import pathlib
 import sys
 import tempfile
 
+from flamingolift_standins.commands import run_command
 from flamingolift_standins.fleet import (
-    OPERATOR_KEY,
     backend_reports,
     operator_get,
     start_fleet,
@@ -37,15 +36,9 @@
 async def command(fleet, *args):
     """Runs the operator's command line and shows what it prints."""
     print("$ flamingolift", " ".join(args))
-    env = {
-        **os.environ,
-        "FLAMINGOLIFT_STORE_URL": fleet.store_url,
-        "FLAMINGOLIFT_OPERATOR_KEY": OPERATOR_KEY,
-    }
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "flamingolift_cli.main", *args, env=env
-    )
-    if await process.wait() != 0:
+    status, output = await run_command(fleet, *args)
+    print(output, end="")
+    if status != 0:
         raise SystemExit(f"flamingolift {args[0]} failed")
 
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,6 +6,7 @@
 import time
 
 import aiohttp
+from flamingolift_standins.commands import apply_text, run_command
 from flamingolift_standins.fleet import (
     backend_reports,
     operator_get,
@@ -21,7 +22,6 @@
     wait_until,
 )
 
-from bench.commands import apply_policy, run_command
 from bench.deployments import INSTANCES
 from bench.load import (
     make_direct_sender,
@@ -47,6 +47,7 @@
 BURST_FACTOR = 1.9
 SETTLED_S = 4.0
 FILE_BYTES = 100_000
+IN_FORCE_S = 30.0
 
 
 @contextlib.asynccontextmanager
@@ -64,13 +65,24 @@
     )
     try:
         await start_instances(fleet)
-        await apply_policy(fleet, deployment.policy)
+        await put_in_force(fleet, deployment.policy)
         await wait_ready(fleet)
         yield fleet
     finally:
         await stop_fleet(fleet)
 
 
+async def put_in_force(fleet, text):
+    """Applies a policy text and waits until it is in force.
+
+    Raises:
+        RuntimeError: The command failed; the message has its output.
+    """
+    status, output = await apply_text(fleet, text, "--wait-s", str(IN_FORCE_S))
+    if status != 0:
+        raise RuntimeError(output)
+
+
 def make_sender(fleet, deployment, service, policy):
     """Returns the Sender of the system or of a baseline."""
     if policy == "system":
@@ -376,7 +388,7 @@
     async def apply_once(index):
         text = deployment.policy + f"\n# change {index}\n"
         started = time.monotonic()
-        await apply_policy(fleet, text)
+        await put_in_force(fleet, text)
         return time.monotonic() - started
 
     store_up = [round(await apply_once(i), 3) for i in range(changes)]
--- a/integration/test_config.py
+++ b/integration/test_config.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from flamingolift_standins.commands import apply_text, run_command
 from flamingolift_standins.fleet import (
     operator_get,
     set_store_faults,
@@ -12,7 +13,7 @@
     wait_ready,
     wait_until,
 )
-from helpers import RAIL_POLICY, apply_text, run_cli
+from helpers import RAIL_POLICY
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -43,7 +44,7 @@
         args = ("--wait-s", str(IN_FORCE_S))
         status, output = await apply_text(fleet, with_queue(ms), *args)
         assert status == 0, output
-    status, output = await run_cli(fleet, "--json", "history")
+    status, output = await run_command(fleet, "--json", "history")
     assert status == 0
     rows = json.loads(output)["history"]
     assert [r["number"] for r in rows] == sorted(
@@ -90,7 +91,7 @@
             await start_instance(fleet, fleet.instances[name])
         await wait_ready(fleet, victims)
         assert set((await numbers(fleet, victims)).values()) == {newest}
-        status, output = await run_cli(fleet, "history")
+        status, output = await run_command(fleet, "history")
         assert status == 50, output
         assert "5001" in output
     finally:
--- a/integration/test_drain.py
+++ b/integration/test_drain.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+from flamingolift_standins.commands import run_command
 from flamingolift_standins.fleet import (
     backend_reports,
     publish_live,
@@ -14,7 +15,6 @@
     wait_ready,
     wait_until,
 )
-from helpers import run_cli
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -86,13 +86,13 @@
 
 async def test_operator_drains_a_backend_server(fleet):
     async def action():
-        status, output = await run_cli(fleet, "drain", "server", "timetable-1")
+        status, output = await run_command(fleet, "drain", "server", "timetable-1")
         assert status == 0, output
 
     late_s, traffic = await under_traffic(fleet, action, ["timetable-1"])
     assert late_s <= LAST_REQUEST_S
     assert traffic.failures == []
-    assert (await run_cli(fleet, "undrain", "server", "timetable-1"))[0] == 0
+    assert (await run_command(fleet, "undrain", "server", "timetable-1"))[0] == 0
 
 
 async def test_health_endpoint_alone_drains(fleet):
@@ -131,28 +131,28 @@
     ]
 
     async def action():
-        status, output = await run_cli(fleet, "drain", kind, name)
+        status, output = await run_command(fleet, "drain", kind, name)
         assert status == 0, output
 
     late_s, traffic = await under_traffic(fleet, action, servers)
     assert late_s <= LAST_REQUEST_S
     assert traffic.failures == []
-    assert (await run_cli(fleet, "undrain", kind, name))[0] == 0
+    assert (await run_command(fleet, "undrain", kind, name))[0] == 0
 
 
 async def test_drained_instance_gets_no_lookups(fleet):
     name = "kumasi-yard-1"
-    assert (await run_cli(fleet, "drain", "instance", name))[0] == 0
+    assert (await run_command(fleet, "drain", "instance", name))[0] == 0
     for client in range(40):
         inst = fleet.instances["accra-central-1"]
         url = f"{inst.url}/v1/lookup?service=timetable&client=10.12.{client}.1"
         async with fleet.session.get(url) as resp:
             assert (await resp.json())["instance"] != name
-    assert (await run_cli(fleet, "undrain", "instance", name))[0] == 0
+    assert (await run_command(fleet, "undrain", "instance", name))[0] == 0
 
 
 async def test_unknown_target_is_refused(fleet):
-    status, output = await run_cli(fleet, "drain", "server", "nowhere")
+    status, output = await run_command(fleet, "drain", "server", "nowhere")
     assert status == 40
     assert "4003" in output
 
--- a/integration/test_faults.py
+++ b/integration/test_faults.py
@@ -26,6 +26,8 @@
 """Two crashes convict; each send may reach two servers before that, and the sends
 of one moment may cross the conviction."""
 DETECT_S = 8.0
+DUPLICATE_AFTER_S = 0.005
+"""Time within which the connection is idle or has its next request (s)."""
 
 
 def by_name(fleet, name):
@@ -103,7 +105,7 @@
     inst = by_name(fleet, "accra-central-1")
     await set_backend(fleet, "timetable-1", echoes=echoes)
     proxy, entry = await through_proxy(fleet, "timetable-1")
-    proxy.duplicate = True
+    proxy.duplicate_after_s = DUPLICATE_AFTER_S
 
     async def ask(number):
         path = f"/s/timetable/own?caller={number}"
--- a/integration/test_moves.py
+++ b/integration/test_moves.py
@@ -6,12 +6,13 @@
 
 import pytest
 from flamingolift_decisions.shifts import largest_move
+from flamingolift_standins.commands import apply_text
 from flamingolift_standins.fleet import (
     operator_get,
     set_store_faults,
     wait_until,
 )
-from helpers import RAIL_POLICY, apply_text
+from helpers import RAIL_POLICY
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
--- a/packages/daemon/src/flamingolift_daemon/bookinghome.py
+++ b/packages/daemon/src/flamingolift_daemon/bookinghome.py
@@ -6,19 +6,17 @@
 from flamingolift_decisions.bookings import (
     begin_booking,
     complete_claim,
-    digest_request,
     expire_records,
     finish_booking,
     record_claim,
     resolve_key,
 )
 from flamingolift_decisions.exceptions import rules_for
-from flamingolift_decisions.quarantine import fingerprint_request
+from flamingolift_decisions.hashing import digest_request
 from flamingolift_model import Fault, ResultCode, peer
 from flamingolift_wire.idempotency import parse_key
 
 from flamingolift_daemon.backendclient import Outcome, close_answer, send_request
-from flamingolift_daemon.dispatching import release_slot
 from flamingolift_daemon.forwarding import (
     HOLD_SLACK_S,
     MAX_TRIES,
@@ -28,6 +26,7 @@
 from flamingolift_daemon.instance import start_task
 from flamingolift_daemon.metrics import count
 from flamingolift_daemon.peerlinks import call_peer, get_link, send_message
+from flamingolift_daemon.slots import release_slot
 
 __all__ = [
     "handle_booking",
@@ -224,10 +223,7 @@
     rules = rules_for(instance.policy, booking.service, "0.0.0.0/24", "", now)
     if rules is None:
         return Fault(ResultCode.BAD_REQUEST, f"unknown service {booking.service}")
-    body = booking.body
-    fingerprint = fingerprint_request(
-        booking.service, booking.method, booking.target, body
-    )
+    fingerprint = _digest_of(booking).hex()
     headers = [(h.name, h.value) for h in booking.headers]
     return Forward(
         booking.service,
@@ -235,7 +231,7 @@
         booking.method,
         booking.target,
         headers,
-        body,
+        booking.body,
         booking.tenant,
         fingerprint,
         deadline,
--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from flamingolift_decisions.exceptions import rules_for
-from flamingolift_decisions.quarantine import fingerprint_request
+from flamingolift_decisions.hashing import digest_request
 from flamingolift_decisions.steering import block_of, origin_of
 from flamingolift_model import Fault, FaultError, ResultCode, peer
 
@@ -14,12 +14,12 @@
     Forward,
     discard_answer,
     forward_request,
-    stream_answer,
 )
 from flamingolift_daemon.httpserver import make_app, track_caller
 from flamingolift_daemon.load import note_busy
 from flamingolift_daemon.lookups import look_up
 from flamingolift_daemon.metrics import count, observe_ms
+from flamingolift_daemon.streaming import stream_answer
 
 __all__ = ["make_caller_app"]
 
@@ -27,7 +27,6 @@
 MAX_TENANT_CHARS = 128
 MAX_HEADERS = 100
 MAX_TARGET_CHARS = 8_192
-FINGERPRINT_BYTES = 65_536
 KEY_HEADER = "Idempotency-Key"
 BODILESS_STATUSES = frozenset((204, 304))
 REPLAY_HEADER = "Idempotency-Replayed"
@@ -214,9 +213,9 @@
     if has_body:
         request.body = _stream_body(req)
     identity = request.headers if has_body else []
-    request.fingerprint = fingerprint_request(
+    request.fingerprint = digest_request(
         request.service, request.method, request.target, repr(identity).encode()
-    )
+    ).hex()
     gone = req.scope["caller_gone"]
     forwarded = await _unless_gone(gone, forward_request(instance, request), instance)
     if forwarded is None:
--- a/packages/daemon/src/flamingolift_daemon/dispatching.py
+++ b/packages/daemon/src/flamingolift_daemon/dispatching.py
@@ -1,9 +1,9 @@
-"""Slots of the backend servers: the dispatcher's side and the holder's side."""
+"""The dispatcher's side: it grants the slots of the pools that it dispatches."""
 
 import asyncio
 import secrets
 
-from expression import Error, Ok, Result
+from expression import Error, Ok
 from flamingolift_decisions.exceptions import drained_servers, server_limits
 from flamingolift_decisions.fairness import remove_waiter
 from flamingolift_decisions.pool import (
@@ -21,26 +21,18 @@
 from flamingolift_decisions.topology import choose_dispatcher
 from flamingolift_model import Fault, ResultCode, peer
 
-from flamingolift_daemon.instance import start_task
 from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import (
-    AVOID_S,
-    broadcast,
-    call_peer,
-    get_link,
-    send_message,
-)
+from flamingolift_daemon.peerlinks import broadcast, send_message
 
 __all__ = [
-    "Slot",
-    "acquire_slot",
+    "ask_pool",
     "handle_acquire",
     "handle_holdings",
     "handle_quarantine",
     "handle_release",
     "release_holders",
-    "release_slot",
+    "release_in_pool",
     "run_pools",
 ]
 
@@ -50,44 +42,6 @@
 """Time between looks at waiters whose time is up (s)."""
 RETIRE_AFTER_S = 3.0
 """Age from which an empty pool is closed where another instance dispatches (s)."""
-ANSWER_SLACK_S = 0.5
-DISPATCHER_TRIES = 3
-
-
-class Slot:
-    """A slot in use by this instance.
-
-    Attributes:
-        service: Service name.
-        region: Region of the pool.
-        dispatcher: Name of the granting instance.
-        grant_id: Id of the grant.
-        server_id: Backend server.
-        host: IP address of the backend server.
-        port: TCP port of the backend server.
-        held_until: Time at which the dispatcher takes it back (s, monotonic).
-    """
-
-    __slots__ = (
-        "dispatcher",
-        "grant_id",
-        "held_until",
-        "host",
-        "port",
-        "region",
-        "server_id",
-        "service",
-    )
-
-    def __init__(self, service, region, dispatcher, grant, held_until):
-        self.service = service
-        self.region = region
-        self.dispatcher = dispatcher
-        self.grant_id = grant.grant_id
-        self.server_id = grant.server_id
-        self.host = grant.host
-        self.port = grant.port
-        self.held_until = held_until
 
 
 def _pool_of(instance, service_name, region):
@@ -178,7 +132,7 @@
 
 def handle_release(instance, link, message, call_id):
     """Takes back a slot that a peer no longer uses."""
-    _release_in_pool(
+    release_in_pool(
         instance,
         message.service,
         instance.cfg.region,
@@ -188,7 +142,8 @@
     )
 
 
-def _release_in_pool(instance, service, region, grant_id, outcome, elapsed_ms):
+def release_in_pool(instance, service, region, grant_id, outcome, elapsed_ms):
+    """Takes a slot back into a pool dispatched here, and serves who waits."""
     pool = instance.pools.get((service, region))
     if pool is None:
         return
@@ -288,61 +243,14 @@
         synced = state
 
 
-async def acquire_slot(
-    instance, service, region, *, tenant, fingerprint, wait_s, hold_s, avoid=()
-) -> Result:
-    """Gets a slot on a backend server from the pool's dispatcher.
-
-    Args:
-        instance: Instance.
-        service: Service name.
-        region: Region of the pool.
-        tenant: Tenant, for fairness.
-        fingerprint: Fingerprint of the request.
-        wait_s: Longest wait in the queue (s).
-        hold_s: Longest time that the slot is held (s).
-        avoid: Backend servers not to use.
-
-    Returns:
-        Ok with a Slot, or Error with a Fault: then nothing was run.
-    """
-    fault = Fault(ResultCode.NO_BACKEND, f"region {region} has no instance", 1000)
-    for _ in range(DISPATCHER_TRIES):
-        now = instance.clock.now()
-        away = {n for n, until in instance.unreachable.items() if until > now}
-        away.discard(instance.cfg.instance_id)
-        chosen = choose_dispatcher(instance.serving, service, region, away)
-        if chosen is None:
-            break
-        name = chosen.instance_id
-        if name == instance.cfg.instance_id:
-            got = await _acquire_here(
-                instance, service, region, tenant, fingerprint, wait_s, hold_s, avoid
-            )
-        else:
-            message = peer.Acquire(
-                service=service,
-                tenant=tenant,
-                wait_ms=int(wait_s * 1000),
-                hold_ms=max(1, int(hold_s * 1000)),
-                fingerprint=fingerprint,
-                avoid=list(avoid),
-            )
-            got = await _acquire_there(instance, chosen, region, message)
-        if got.is_ok():
-            slot = Slot(service, region, name, got.ok, now + wait_s + hold_s)
-            instance.held_slots.setdefault((service, region), set()).add(slot)
-            return Ok(slot)
-        fault = got.error
-        if fault.code != ResultCode.PEER_UNREACHABLE:
-            break
-        instance.unreachable[name] = instance.clock.now() + AVOID_S
-    return Error(fault)
-
-
-async def _acquire_here(
+async def ask_pool(
     instance, service, region, tenant, fingerprint, wait_s, hold_s, avoid
 ):
+    """Gets a slot from a pool that this instance dispatches itself.
+
+    Takes the arguments of `slots.acquire_slot` and returns Ok with a Grant message,
+    or Error with a Fault.
+    """
     pool = _pool_of(instance, service, region)
     if pool is None:
         return Error(Fault(ResultCode.BAD_REQUEST, f"unknown service {service}"))
@@ -378,87 +286,3 @@
         now = instance.clock.now()
         release_grant(pool, outcome.grant_id, "cancelled", 0.0, now)
         _pump(instance, pool)
-
-
-async def _acquire_there(instance, entry, region, message):
-    opened = await get_link(instance, entry)
-    if opened.is_error():
-        return opened
-    link = opened.ok
-    await _tell_holdings(instance, link, region, message.service)
-    timeout_s = message.wait_ms / 1000.0 + ANSWER_SLACK_S
-
-    def give_back(answer):
-        """Releases a grant that nobody waits for any more."""
-        if isinstance(answer, peer.Grant):
-            count(instance.metrics, "slots.late")
-            release = peer.Release(
-                service=message.service, grant_id=answer.grant_id, outcome="cancelled"
-            )
-            send_message(link, release)
-
-    return await call_peer(link, message, timeout_s, give_back)
-
-
-async def _tell_holdings(instance, link, region, service):
-    """Tells a dispatcher once which slots were granted by others before it."""
-    now = instance.clock.now()
-    foreign = [
-        slot
-        for slot in instance.held_slots.get((service, region), ())
-        if slot.dispatcher != link.remote_id and slot.held_until > now
-    ]
-    if not foreign:
-        return
-    for slot in foreign:
-        slot.dispatcher = link.remote_id
-    slots = [
-        peer.HeldSlot(
-            server_id=slot.server_id,
-            grant_id=slot.grant_id,
-            hold_ms=int((slot.held_until - now) * 1000),
-        )
-        for slot in foreign
-    ]
-    message = peer.Holdings(service=service, slots=slots)
-    await call_peer(link, message, ANSWER_SLACK_S)
-
-
-def release_slot(instance, slot, outcome, elapsed_ms):
-    """Gives a slot back to its dispatcher.
-
-    Args:
-        instance: Instance.
-        slot: Slot; releasing it twice does nothing.
-        outcome: Outcome of the schema's Release message.
-        elapsed_ms: Time on the backend server (ms).
-    """
-    held = instance.held_slots.get((slot.service, slot.region), set())
-    if slot not in held:
-        return
-    held.discard(slot)
-    count(instance.metrics, f"slots.{outcome}")
-    if slot.dispatcher == instance.cfg.instance_id:
-        _release_in_pool(
-            instance, slot.service, slot.region, slot.grant_id, outcome, elapsed_ms
-        )
-        return
-    message = peer.Release(
-        service=slot.service,
-        grant_id=slot.grant_id,
-        outcome=outcome,
-        elapsed_ms=max(0.0, elapsed_ms),
-    )
-    link = instance.links.get(slot.dispatcher)
-    if link is None or not send_message(link, message):
-        start_task(instance, _release_later(instance, slot, message))
-
-
-async def _release_later(instance, slot, message):
-    """Opens a stream anew to release a slot whose stream broke."""
-    entry = instance.view.entries.get(slot.dispatcher)
-    if entry is None:
-        return
-    opened = await get_link(instance, entry)
-    if opened.is_ok():
-        send_message(opened.ok, message)
--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -10,31 +10,32 @@
     withdraw,
 )
 from flamingolift_decisions.quarantine import is_quarantined
-from flamingolift_model import Fault, FaultError, ResultCode
+from flamingolift_model import Fault, ResultCode
 
 from flamingolift_daemon.backendclient import (
     close_answer,
     retire_connections,
     send_request,
 )
-from flamingolift_daemon.dispatching import acquire_slot, release_slot
 from flamingolift_daemon.metrics import count
+from flamingolift_daemon.slots import acquire_slot, release_slot
 
 __all__ = [
     "Forward",
     "ForwardedAnswer",
     "acquire_anywhere",
+    "budget_of",
     "discard_answer",
     "forward_request",
+    "hold_time_s",
     "regions_to_try",
-    "stream_answer",
+    "try_once",
 ]
 
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 MAX_TRIES = 3
 LATE_SHARE = 0.5
 """Share of the deadline after which a look-up is late enough for a second try."""
-CHUNK_BYTES = 65_536
 HOLD_SLACK_S = 1.0
 DOWNLOAD_HOLD_S = 300.0
 SPILL_AFTER_S = 0.1
@@ -211,7 +212,7 @@
     return Error(Fault(ResultCode.NO_BACKEND, result.error.detail, 1000))
 
 
-def _hold_s(instance, forward):
+def hold_time_s(instance, forward):
     """Returns the longest time for which the request may hold a slot (s)."""
     left_s = max(0.0, forward.deadline - instance.clock.now())
     if forward.rules.traffic_class == "download":
@@ -219,7 +220,7 @@
     return left_s + HOLD_SLACK_S
 
 
-async def _attempt(instance, forward, slot, timeout_s) -> Result:
+async def try_once(instance, forward, slot, timeout_s) -> Result:
     """Sends the request on a slot; the slot is released on an error."""
     started_at = instance.clock.now()
     late_at = started_at + LATE_SHARE * timeout_s
@@ -249,22 +250,22 @@
             release_slot(instance, slot, outcome_name, (now - started_at) * 1000.0)
 
 
-async def _attempt_with_hedge(instance, forward, slot, timeout_s) -> Result:
+async def _try_with_hedge(instance, forward, slot, timeout_s) -> Result:
     """Sends the request, and once more elsewhere when the answer is late."""
-    first = asyncio.ensure_future(_attempt(instance, forward, slot, timeout_s))
+    first = asyncio.ensure_future(try_once(instance, forward, slot, timeout_s))
     runs = {first}
     winner = None
     try:
         delay_s = forward.rules.hedge_after_ms / 1000.0 or LATE_SHARE * timeout_s
         await asyncio.wait(runs, timeout=delay_s)
         if not first.done() and withdraw(budget_of(instance, forward)):
-            hold_s = _hold_s(instance, forward)
+            hold_s = hold_time_s(instance, forward)
             avoid = [slot.server_id]
             second = await acquire_anywhere(instance, forward, hold_s, 0.0, avoid)
             if second.is_ok():
                 count(instance.metrics, "requests.hedged")
                 left_s = forward.deadline - instance.clock.now()
-                hedge = _attempt(instance, forward, second.ok, left_s)
+                hedge = try_once(instance, forward, second.ok, left_s)
                 runs.add(asyncio.ensure_future(hedge))
         winner = await _first_success(runs)
         return winner
@@ -327,7 +328,7 @@
         if left_s <= 0.0:
             break
         wait_s = min(left_s, forward.rules.queue_ms / 1000.0)
-        hold_s = _hold_s(instance, forward)
+        hold_s = hold_time_s(instance, forward)
         got = await acquire_anywhere(instance, forward, hold_s, wait_s, avoid)
         if got.is_error():
             fault = fault if ran else got.error
@@ -335,7 +336,7 @@
         left_s = forward.deadline - instance.clock.now()
         is_lookup = forward.rules.traffic_class == "lookup"
         hedged = idempotent and is_lookup and attempt == 0
-        send = _attempt_with_hedge if hedged else _attempt
+        send = _try_with_hedge if hedged else try_once
         result = await send(instance, forward, got.ok, left_s)
         if result.is_ok():
             return result
@@ -356,135 +357,3 @@
     until = instance.crash_log.quarantined.get(forward.fingerprint, 0.0)
     left_ms = int(max(0.0, until - instance.clock.now()) * 1000)
     return Fault(ResultCode.QUARANTINED, f"fingerprint {forward.fingerprint}", left_ms)
-
-
-async def stream_answer(instance, forward, forwarded):
-    """Yields the body of an answer and ends its slot.
-
-    A download that is cut is continued from another backend server when a strong
-    validator proves that it is the same content; else the caller sees the cut.
-
-    Args:
-        instance: Instance.
-        forward: Forward.
-        forwarded: ForwardedAnswer.
-
-    Yields:
-        Chunks of at most 64 KiB.
-
-    Raises:
-        FaultError: The body was cut and could not be continued.
-    """
-    position = 0
-    current = forwarded
-    while True:
-        outcome = "cancelled"
-        try:
-            while True:
-                chunk = await _read_chunk(current.answer)
-                if chunk is None:
-                    outcome = "ok"
-                    return
-                if isinstance(chunk, Fault):
-                    outcome = "crashed"
-                    break
-                if current.answer.resp.content.at_eof():
-                    # The backend server is free before the caller has it all.
-                    _release_now(instance, current, "ok")
-                yield chunk
-                position += len(chunk)
-        finally:
-            _release_now(instance, current, outcome)
-            await close_answer(current.answer)
-        current = await _resume(instance, forward, forwarded, position, current)
-        if current is None:
-            count(instance.metrics, "answers.cut")
-            raise FaultError(chunk)
-
-
-def _release_now(instance, forwarded, outcome):
-    """Gives back the slot of an answer; the second time does nothing."""
-    elapsed_ms = (instance.clock.now() - forwarded.started_at) * 1000.0
-    release_slot(instance, forwarded.slot, outcome, elapsed_ms)
-
-
-async def _read_chunk(answer):
-    """Returns the next chunk, None at the whole end, or a Fault at a cut."""
-    try:
-        chunk = await answer.resp.content.read(CHUNK_BYTES)
-    except asyncio.CancelledError:
-        raise
-    except Exception as exc:
-        detail = f"the answer was cut: {type(exc).__name__}"
-        return Fault(ResultCode.BACKEND_FAILED, detail)
-    return chunk or None
-
-
-def _resume_range(forward, forwarded, position):
-    """Returns (first byte, entity tag) to resume from, or None."""
-    headers = {name.lower(): value for name, value in forwarded.answer.headers}
-    etag = headers.get("etag", "")
-    if (
-        forward.method != "GET"
-        or not etag.startswith('"')
-        or "content-length" not in headers
-    ):
-        return None
-    if forwarded.answer.status == 200:
-        return position, etag
-    content_range = headers.get("content-range", "")
-    first, dash, _ = content_range.removeprefix("bytes ").partition("-")
-    if forwarded.answer.status == 206 and dash and first.isdigit():
-        return int(first) + position, etag
-    return None
-
-
-async def _resume(instance, forward, forwarded, position, cut):
-    """Continues a cut download; returns a ForwardedAnswer or None."""
-    where = _resume_range(forward, forwarded, position)
-    if where is None or not withdraw(budget_of(instance, forward)):
-        return None
-    first, etag = where
-    last = first - position + int(_header(forwarded, "content-length")) - 1
-    dropped = ("range", "if-range")
-    headers = [(n, v) for n, v in forward.headers if n.lower() not in dropped]
-    headers += [("Range", f"bytes={first}-{last}"), ("If-Range", etag)]
-    again = Forward(
-        forward.service,
-        forward.rules,
-        "GET",
-        forward.target,
-        headers,
-        None,
-        forward.tenant,
-        forward.fingerprint,
-        instance.clock.now() + forward.rules.deadline_ms / 1000.0,
-    )
-    hold_s = _hold_s(instance, again)
-    got = await acquire_anywhere(instance, again, hold_s, 1.0, [cut.slot.server_id])
-    if got.is_error():
-        return None
-    result = await _attempt(
-        instance, again, got.ok, again.deadline - instance.clock.now()
-    )
-    if result.is_error():
-        return None
-    resumed = result.ok
-    same = (
-        resumed.answer.status == 206
-        and _header(resumed, "etag") == etag
-        and _header(resumed, "content-range").startswith(f"bytes {first}-{last}/")
-    )
-    if same:
-        count(instance.metrics, "downloads.resumed")
-        return resumed
-    await discard_answer(instance, resumed)
-    return None
-
-
-def _header(forwarded, name):
-    """Returns the first value of a header field of an answer, or ""."""
-    for field, value in forwarded.answer.headers:
-        if field.lower() == name:
-            return value
-    return ""
--- a/packages/decisions/src/flamingolift_decisions/bookings.py
+++ b/packages/decisions/src/flamingolift_decisions/bookings.py
@@ -13,8 +13,6 @@
 and spec/booking.pml checks the rules.
 """
 
-import hashlib
-
 from expression import Error, Ok, Result
 from flamingolift_model import Fault, ResultCode
 
@@ -24,7 +22,6 @@
     "KeyFacts",
     "begin_booking",
     "complete_claim",
-    "digest_request",
     "expire_records",
     "finish_booking",
     "record_claim",
@@ -119,15 +116,6 @@
         self.lifetime_s = lifetime_s
 
 
-def digest_request(service, method, target, body):
-    """Returns a digest (bytes) that tells two requests under one key apart."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (service.encode(), method.encode(), target.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.digest()
-
-
 def _admit_record(table, facts, now):
     """Returns a Fault when no record for a key may be made."""
     if now >= facts.expires_at:
--- a/packages/decisions/src/flamingolift_decisions/hashing.py
+++ b/packages/decisions/src/flamingolift_decisions/hashing.py
@@ -1,10 +1,12 @@
 """Stateless hashing of keys to names."""
 
+import hashlib
 import math
 
 import xxhash
 
 __all__ = [
+    "digest_request",
     "rendezvous_order",
     "unit_hash",
     "weighted_choice",
@@ -31,6 +33,25 @@
     return (digest + 0.5) / _HASH_SPAN
 
 
+def digest_request(service, method, target, body):
+    """Digests a request, so that resends are known and others are told apart.
+
+    Args:
+        service: Service name.
+        method: HTTP method.
+        target: Path and query.
+        body: Body, or what else identifies the request (bytes).
+
+    Returns:
+        16 bytes that cannot be forged for another request.
+    """
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (service.encode(), method.encode(), target.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
 def rendezvous_order(key, names):
     """Orders names by their rendezvous hash for a key.
 
--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -1,11 +1,8 @@
 """Requests that crash the backend servers that run them."""
 
-import hashlib
-
 __all__ = [
     "CrashLog",
     "add_quarantine",
-    "fingerprint_request",
     "is_quarantined",
     "note_crash",
     "note_success",
@@ -55,25 +52,6 @@
         self.quarantine_s = quarantine_s
 
 
-def fingerprint_request(service, method, target, body):
-    """Returns a fingerprint that resends of one request share.
-
-    Args:
-        service: Service name.
-        method: HTTP method.
-        target: Path and query.
-        body: First bytes of the body.
-
-    Returns:
-        32 hexadecimal digits.
-    """
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (service.encode(), method.encode(), target.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 def note_crash(log, server_id, suspects, now):
     """Enters a crash and decides whether one request is to blame.
 
--- a/bench/commands.py
+++ b/standins/src/flamingolift_standins/commands.py
@@ -1,4 +1,4 @@
-"""The operator's command line, as the bench and the demonstration use it."""
+"""The operator's command line as tests, the bench and the demonstration use it."""
 
 import asyncio
 import os
@@ -7,11 +7,19 @@
 
 from flamingolift_standins.fleet import OPERATOR_KEY
 
-__all__ = ["apply_policy", "run_command"]
+__all__ = ["apply_text", "run_command"]
 
 
 async def run_command(fleet, *args):
-    """Runs the command line; returns (exit status, output)."""
+    """Runs the command line against a fleet's store.
+
+    Args:
+        fleet: Fleet.
+        *args: Arguments of ``flamingolift``.
+
+    Returns:
+        Tuple of the exit status and the output.
+    """
     env = {
         **os.environ,
         "FLAMINGOLIFT_STORE_URL": fleet.store_url,
@@ -30,16 +38,8 @@
     return process.returncode, output.decode()
 
 
-async def apply_policy(fleet, text, wait_s=30.0):
-    """Applies a policy text and waits until it is in force.
-
-    Raises:
-        RuntimeError: The command failed; the message has its output.
-    """
-    path = pathlib.Path(fleet.folder) / "bench-policy.toml"
+async def apply_text(fleet, text, *args, name="policy.toml"):
+    """Applies a policy text; returns the exit status and the output."""
+    path = pathlib.Path(fleet.folder) / name
     path.write_text(text)
-    status, output = await run_command(
-        fleet, "apply", str(path), "--wait-s", str(wait_s)
-    )
-    if status != 0:
-        raise RuntimeError(output)
+    return await run_command(fleet, "apply", str(path), *args)
--- a/standins/src/flamingolift_standins/faultproxy.py
+++ b/standins/src/flamingolift_standins/faultproxy.py
@@ -19,7 +19,8 @@
         refusing: Whether new connections are closed at once.
         truncate_after: Bytes of the answer after which a connection is cut, or
             None.
-        duplicate: Whether each chunk of an answer is sent twice.
+        duplicate_after_s: Time after which each chunk of an answer is sent again
+            (s), or None.
         frozen: Set of connections on which nothing passes any more.
         connections: Set of open connections, as (reader side, writer side).
         accepted: Number of connections accepted.
@@ -29,7 +30,7 @@
         "accepted",
         "connections",
         "delay_s",
-        "duplicate",
+        "duplicate_after_s",
         "frozen",
         "port",
         "refusing",
@@ -45,7 +46,7 @@
         self.delay_s = 0.0
         self.refusing = False
         self.truncate_after = None
-        self.duplicate = False
+        self.duplicate_after_s = None
         self.frozen = set()
         self.connections = set()
         self.accepted = 0
@@ -123,8 +124,10 @@
                 key[2].transport.abort()
                 return
             writer.write(chunk)
-            if is_answer and proxy.duplicate:
-                writer.write(chunk)
+            if is_answer and proxy.duplicate_after_s is not None:
+                asyncio.get_running_loop().call_later(
+                    proxy.duplicate_after_s, writer.write, chunk
+                )
             await writer.drain()
             passed += len(chunk)
         writer.write_eof()
