--- a/packages/daemon/src/flamingolift_daemon/planning.py
+++ b/packages/daemon/src/flamingolift_daemon/planning.py
@@ -59,9 +59,9 @@
 async def run_planner(instance):
     """Plans while this instance is its domain's first relay and holds the lease.
 
-    The lease only saves work. The cap holds without it, since every plan is
-    written by compare-and-swap over the plan that it was made from, and each
-    instance checks the cap again.
+    The lease only saves work. Two planners cannot overwrite each other, since a
+    plan is written by compare-and-swap over the one that it was made from; and the
+    cap is held by each instance itself (`shifts.advance_rows`).
     """
     state = PlannerState(instance.clock.now())
     while True:
--- a/packages/decisions/src/flamingolift_decisions/planner.py
+++ b/packages/decisions/src/flamingolift_decisions/planner.py
@@ -200,8 +200,9 @@
 
     Returns:
         The next Plan, or None when nothing worth a write has changed. What was
-        moved is entered in the same value as the rows, so that every later
-        decider subtracts it, whoever holds the lease.
+        moved is entered in the same value as the rows, so that a later decider
+        subtracts it, whoever holds the lease. A decider that pauses enters an old
+        time; the cap itself is held by each instance.
     """
     spent = prune_spent(current.spent, now, shift.window_s)
     budget = max(0.0, shift.cap - spent_share(spent))
