--- a/bench/demo.py
+++ b/bench/demo.py
@@ -8,6 +8,7 @@
 
 from flamingolift_standins.commands import run_command
 from flamingolift_standins.fleet import (
+    RAIL_REGIONS,
     backend_reports,
     operator_get,
     start_fleet,
@@ -18,11 +19,6 @@
 )
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-RAIL = {
-    "greater-accra": ["accra-central", "tema-junction"],
-    "ashanti": ["kumasi-yard", "obuasi-line"],
-    "western": ["takoradi-port", "tarkwa-depot"],
-}
 SERVICES = [
     ("timetable", 6, 6, 20),
     ("seat-booking", 3, 5, 30),
@@ -116,7 +112,7 @@
 async def main():
     """Runs the demonstration."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = await start_fleet(RAIL, 1, SERVICES, folder)
+        fleet = await start_fleet(RAIL_REGIONS, 1, SERVICES, folder)
         try:
             await start_instances(fleet)
             await command(fleet, "apply", str(ROOT / "policies/rail.toml"))
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from flamingolift_standins.fleet import Network
+from flamingolift_standins.fleet import RAIL_REGIONS, Network
 
 __all__ = ["COOPERATIVE", "RAIL", "Deployment"]
 
@@ -57,11 +57,7 @@
 RAIL = Deployment(
     "rail",
     "rail.toml",
-    {
-        "greater-accra": ["accra-central", "tema-junction"],
-        "ashanti": ["kumasi-yard", "obuasi-line"],
-        "western": ["takoradi-port", "tarkwa-depot"],
-    },
+    RAIL_REGIONS,
     [
         ("timetable", 20, 6, 200),
         ("seat-booking", 12, 5, 200),
--- a/integration/helpers.py
+++ b/integration/helpers.py
@@ -4,6 +4,7 @@
 
 from flamingolift_standins.commands import apply_text
 from flamingolift_standins.fleet import (
+    RAIL_REGIONS,
     start_fleet,
     start_instances,
     stop_fleet,
@@ -11,11 +12,6 @@
 )
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-RAIL = {
-    "greater-accra": ["accra-central", "tema-junction"],
-    "ashanti": ["kumasi-yard", "obuasi-line"],
-    "western": ["takoradi-port", "tarkwa-depot"],
-}
 SERVICES = [
     ("timetable", 6, 6, 20),
     ("seat-booking", 6, 5, 20),
@@ -27,7 +23,9 @@
 
 async def make_fleet(folder, *, per_domain=1, services=SERVICES, **options):
     """Returns a running fleet of the Rail Authority with its policy in force."""
-    fleet = await start_fleet(RAIL, per_domain, services, folder, options=options)
+    fleet = await start_fleet(
+        RAIL_REGIONS, per_domain, services, folder, options=options
+    )
     try:
         await start_instances(fleet)
         status, output = await apply_text(fleet, RAIL_POLICY, "--wait-s", "20")
--- a/standins/src/flamingolift_standins/fleet.py
+++ b/standins/src/flamingolift_standins/fleet.py
@@ -24,6 +24,12 @@
 PEER_KEYS = "k1:" + "a1" * 16
 TICKET_KEYS = "t1:" + "b2" * 16
 OPERATOR_KEY = "c3" * 16
+RAIL_REGIONS = {
+    "greater-accra": ["accra-central", "tema-junction"],
+    "ashanti": ["kumasi-yard", "obuasi-line"],
+    "western": ["takoradi-port", "tarkwa-depot"],
+}
+"""Regions of the Rail Authority with their failure domains."""
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
 FIRST_PORT = 10_000
