Keep an object of a busy service on two servers

Logs of each send (trial with object, server and time) show 60 % of the listings on servers that did not hold them, six to eight servers an object, loads of 10 to 12 on 3 slots: a full first server spilled the object to any other, whose cold work is 3.3 times as long, which filled the next ones. Loads are known only from own answers, about one in three seconds for each server. Change: while the usual load of a service is above its slots, an object uses the first two servers of its order; a request spills once one request waits, and waits deeper only when no server has room.

--- a/packages/decisions/src/flamingolift_decisions/affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/affinity.py
@@ -5,15 +5,15 @@
 goes to a later server of the object's order when the earlier ones are busy.
 """
 
-from flamingolift_decisions.backends import LOAD_FRESH_S
+from flamingolift_decisions.backends import eligible_backends, estimate_load, usual_load
 from flamingolift_decisions.hashing import unit_hash
 
 __all__ = [
     "AffinityCache",
     "choose_backend",
-    "estimate_load",
     "expected_cost",
     "has_room",
+    "pick_backend",
     "rank_backends",
 ]
 
@@ -26,6 +26,14 @@
 object (ratio)."""
 BULK_FAR_COST = 1.0
 """The same for large answers, which also use the links between regions (ratio)."""
+BUSY_SERVERS = 2
+"""Servers that an object may use while its service is busy: more would hold it
+cold, which takes more of the slots that are short."""
+BUSY_LOAD = 1.0
+"""Usual load of a service from which it is busy (ratio to its slots)."""
+SPILL_QUEUE_PER_SLOT = 0.34
+"""Requests that may wait at a server for each of its slots while another one has
+room (ratio): one on three slots."""
 QUEUE_PER_SLOT = 1.0
 """Requests that may wait at a server for each of its slots (ratio): one more
 request's work, which the objectives of warm requests still cover."""
@@ -76,21 +84,16 @@
     return order
 
 
-def estimate_load(backend, now):
-    """Returns the requests on a server, of this and of other instances."""
-    fresh = now - backend.foreign_load_at <= LOAD_FRESH_S
-    return backend.in_flight + (backend.foreign_load if fresh else 0)
-
-
-def has_room(backend, now):
+def has_room(backend, queue_per_slot, now):
     """Returns whether another request would not wait too long at a server.
 
     Args:
         backend: Backend.
+        queue_per_slot: Requests that may wait there for each slot (ratio).
         now: Current time (s, monotonic).
     """
     slots = max(1, backend.entry.slots)
-    return estimate_load(backend, now) < slots * (1.0 + QUEUE_PER_SLOT)
+    return estimate_load(backend, now) < slots * (1.0 + queue_per_slot)
 
 
 def expected_cost(backend, place, region, bulk, now):
@@ -115,7 +118,7 @@
     return cost
 
 
-def choose_backend(candidates, order, region, bulk, now):
+def choose_backend(candidates, order, region, bulk, limit, now):
     """Picks the server with the least expected time for an object.
 
     Args:
@@ -123,19 +126,65 @@
         order: Map of server id to its place in the object's order.
         region: Region of this instance.
         bulk: Whether the answer is large.
+        limit: Number of servers that the object may use; None for all.
         now: Current time (s, monotonic).
 
     Returns:
-        Backend, or None when no candidate has room. Among servers of equal cost
-        the earliest of the order.
+        Backend, or None when none that may take the object has room. Among servers
+        of equal cost the earliest of the order.
     """
-    roomy = (b for b in candidates if has_room(b, now))
-    ranked = sorted(roomy, key=lambda b: order[b.entry.server_id])
+    ranked = sorted(candidates, key=lambda b: order[b.entry.server_id])
     if bulk:
         ranked.sort(key=lambda b: b.entry.region != region)
-    best, best_cost = None, 0.0
-    for place, backend in enumerate(ranked):
-        cost = expected_cost(backend, place, region, bulk, now)
-        if best is None or cost < best_cost:
-            best, best_cost = backend, cost
-    return best
+    for queue_per_slot in (SPILL_QUEUE_PER_SLOT, QUEUE_PER_SLOT):
+        best, best_cost = None, 0.0
+        for place, backend in enumerate(ranked[:limit]):
+            if not has_room(backend, queue_per_slot, now):
+                continue
+            cost = expected_cost(backend, place, region, bulk, now)
+            if best is None or cost < best_cost:
+                best, best_cost = backend, cost
+        if best is not None:
+            return best
+    return None
+
+
+def pick_backend(
+    view, cache, service, route, object_key, request_id, tried, region, now
+):
+    """Picks the server for the next send of a request.
+
+    Args:
+        view: BackendView.
+        cache: AffinityCache.
+        service: Service name.
+        route: Route of the request.
+        object_key: Name of the object; empty for a request that concerns none.
+        request_id: Id of the request.
+        tried: Set of the ids of the servers that were tried.
+        region: Region of this instance.
+        now: Current time (s, monotonic).
+
+    Returns:
+        Tuple of the Backend, or None when none may take the request, and its place
+        in the object's order. Cold servers only get what no warm one may take.
+
+    Notes:
+        While the service is busy, an object stays with the first servers of its
+        order. Otherwise an overload would spread each object over servers that do
+        not hold it, whose longer work keeps the overload going after its cause.
+    """
+    warm, cold = eligible_backends(view, service, route, now)
+    candidates = [b for b in warm if b.entry.server_id not in tried]
+    if not candidates:
+        candidates = [b for b in cold if b.entry.server_id not in tried]
+    if not candidates:
+        return None, 0
+    if object_key:
+        order = rank_backends(cache, view, service, object_key)
+        limit = BUSY_SERVERS if usual_load(view, service, now) >= BUSY_LOAD else None
+    else:
+        order = rank_backends(cache, view, service, request_id)
+        limit = None
+    chosen = choose_backend(candidates, order, region, route.bulk, limit, now)
+    return chosen, order[chosen.entry.server_id] if chosen else 0
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -17,6 +17,7 @@
     "apply_entry",
     "eligible_backends",
     "end_evacuation",
+    "estimate_load",
     "is_cold",
     "note_answer",
     "note_late",
@@ -26,6 +27,7 @@
     "note_sent",
     "remove_entry",
     "set_evacuations",
+    "usual_load",
 ]
 
 SUSPEND_BASE_S = 0.5
@@ -42,6 +44,12 @@
 heartbeats (s)."""
 LOAD_FRESH_S = 0.5
 """Age up to which a server's own load report counts (s)."""
+LOAD_KEPT_S = 4.0
+"""Age up to which load reports tell the usual load of a service (s): several
+reports of each server at the usual rates."""
+USUAL_LOAD_S = 0.1
+"""Time for which a computed usual load is used (s), well below the time of a
+request."""
 TRICKLE_DEFAULT_PER_S = 4.0
 """Rate for a server on trial whose service declares no cold rate (1/s)."""
 TRICKLE_MARGIN = 0.8
@@ -107,6 +115,8 @@
         services: Map of service name to ServiceSpec.
         instances: Number of instances that share the rates of cold servers.
         rng: Random number generator that spreads the instances' requests.
+        usual_loads: Map of service name to a tuple of its usual load (ratio) and
+            the time at which that was worked out (s, monotonic).
     """
 
     __slots__ = (
@@ -117,6 +127,7 @@
         "instances",
         "rng",
         "services",
+        "usual_loads",
     )
 
     def __init__(self, rng=None):
@@ -127,6 +138,7 @@
         self.services = {}
         self.instances = 1
         self.rng = rng or random.Random()
+        self.usual_loads = {}
 
 
 def apply_entry(view, entry, now) -> Option:
@@ -318,6 +330,37 @@
     backend.foreign_load_at = now
 
 
+def estimate_load(backend, now):
+    """Returns the requests on a server, of this and of other instances."""
+    fresh = now - backend.foreign_load_at <= LOAD_FRESH_S
+    return backend.in_flight + (backend.foreign_load if fresh else 0)
+
+
+def usual_load(view, service, now):
+    """Returns the mean load by other instances on a service's servers.
+
+    Args:
+        view: BackendView.
+        service: Service name.
+        now: Current time (s, monotonic).
+
+    Returns:
+        Requests for each slot (ratio), by the last report of each server; 0 when
+        none reported lately.
+    """
+    cached = view.usual_loads.get(service)
+    if cached is not None and now - cached[1] < USUAL_LOAD_S:
+        return cached[0]
+    load, slots = 0, 0
+    for backend in view.by_service.get(service, ()):
+        if now - backend.foreign_load_at < LOAD_KEPT_S:
+            load += backend.foreign_load
+            slots += max(1, backend.entry.slots)
+    usual = load / slots if slots else 0.0
+    view.usual_loads[service] = (usual, now)
+    return usual
+
+
 def note_refused(view, backend, now):
     """Suspends a server that did not accept a connection.
 
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -102,7 +102,17 @@
         now = time.monotonic()
         if trace.sends and not _may_send_again(front, trace, ends_at, attempts, now):
             break
-        backend, place = _choose(front, req, route, trace, now)
+        backend, place = affinity.pick_backend(
+            front.view.backends,
+            front.orders,
+            trace.service,
+            route,
+            req.object_key,
+            req.request_id,
+            trace.tried,
+            front.cfg.region,
+            now,
+        )
         if backend is None:
             break
         outcome, reply = await _send(front, req, route, trace, backend, place, ends_at)
@@ -154,22 +164,6 @@
     return _refusal(front, ResultCode.NO_BACKEND, detail or "no server is known")
 
 
-def _choose(front, req, route, trace, now):
-    """Returns the Backend for the next send and its place, or (None, 0)."""
-    view = front.view.backends
-    region = front.cfg.region
-    warm, cold = backends.eligible_backends(view, trace.service, route, now)
-    candidates = [b for b in warm if b.entry.server_id not in trace.tried]
-    if not candidates:
-        candidates = [b for b in cold if b.entry.server_id not in trace.tried]
-    if not candidates:
-        return None, 0
-    key = req.object_key or req.request_id
-    order = affinity.rank_backends(front.orders, view, trace.service, key)
-    chosen = affinity.choose_backend(candidates, order, region, route.bulk, now)
-    return chosen, order[chosen.entry.server_id] if chosen else 0
-
-
 async def _send(front, req, route, trace, backend, place, ends_at):
     """Sends a request to one server; returns a tuple of Outcome and Reply."""
     started = time.monotonic()
@@ -236,4 +230,7 @@
         backends.note_load(backend, slots, slots, now)
     parts = header(headers, front.names.load, "").split(",")
     if len(parts) >= 2 and parts[0].strip().isdigit() and parts[1].strip().isdigit():
-        backends.note_load(backend, int(parts[0]), int(parts[1]), now)
+        # A request that was answered still counts among those that run.
+        answered = int(outcome is Outcome.ANSWERED)
+        running = max(0, int(parts[0]) - answered)
+        backends.note_load(backend, running, int(parts[1]), now)
