Send an overdue request that may be repeated to another server

Change: once a send has taken four times the median of the route's last answers, an idempotent request is given up there and sent to another server, inside the retry budget and only when a usual time is left. The median grows in an overload, so that no sends are added to one. Unsafe requests stay. Tests with real processes: a silent server is passed over within a second, an overdue booking is sent once.

--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -219,3 +219,40 @@
     # The grace time of the settings.
     assert await asyncio.wait_for(front.process.wait(), 3.0) == 0
     await wait_until(lambda: "instances/front-1" not in platform.store.items)
+
+
+async def test_overdue_request_goes_to_another_server(platform, front):
+    await join(platform, front, "i-read-2", "reads")
+    slow = platform.servers["i-read-1"]
+    for number in range(12):
+        assert (await ask(front, "GET", f"/read/{number}")).status == 200
+    before = len(slow.requests)
+    slow.script = {number: "silent" for number in range(before + 1, before + 40)}
+    loop = asyncio.get_running_loop()
+    for number in range(12):
+        began = loop.time()
+        reply = await ask(front, "GET", f"/read/{number}", rid=f"slow-{number}")
+        assert reply.status == 200
+        # The route's timeout is 1.5 s.
+        assert loop.time() - began < 1.0
+    given_up = [request for request in slow.requests[before:]]
+    assert given_up
+    assert {request.ended for request in given_up} == {"cancelled"}
+    overdue = events(front, "send_overdue")
+    assert {line["server"] for line in overdue} == {"i-read-1"}
+    assert all(line["waited_ms"] > line["usual_ms"] for line in overdue)
+
+
+async def test_overdue_booking_stays_with_its_server(platform, front):
+    await join(platform, front, "i-book-2", "books")
+    for number in range(12):
+        assert (await ask(front, "POST", f"/book/{number}")).status == 200
+    for server_id in ("i-book-1", "i-book-2"):
+        server = platform.servers[server_id]
+        number = len(server.requests)
+        server.script = {number + 1: "silent"}
+    total = len(arrivals(platform, "i-book-1")) + len(arrivals(platform, "i-book-2"))
+    reply = await ask(front, "POST", "/book/a", rid="slow")
+    assert reply.headers["result-code"] == "3004"
+    after = len(arrivals(platform, "i-book-1")) + len(arrivals(platform, "i-book-2"))
+    assert after == total + 1
--- a/packages/cli/src/flamingolift_cli/tracing.py
+++ b/packages/cli/src/flamingolift_cli/tracing.py
@@ -29,6 +29,7 @@
     "unreached": "accepted no connection",
     "lost": "gave no whole answer; it may have run",
     "silent": "acknowledged nothing; it may have run",
+    "overdue": "was much slower than usual and was given up; it may have run",
     "late": "answered nothing until the deadline; it may have run",
     "cancelled": "was at work when the caller left",
 }
--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -14,6 +14,7 @@
     "fairness",
     "hashing",
     "membership",
+    "patience",
     "planner",
     "policycheck",
     "pool",
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -4,14 +4,20 @@
 import time
 
 from expression import Error, Ok, Result
-from flamingolift_decisions import affinity, backends, routetable, windowbudget
+from flamingolift_decisions import (
+    affinity,
+    backends,
+    patience,
+    routetable,
+    windowbudget,
+)
 from flamingolift_model import Fault, ResultCode
 
 from flamingolift_front import serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import UNKNOWN_OUTCOMES, Outcome, send_request
-from flamingolift_front.state import budget_for
+from flamingolift_front.state import answer_times_for, budget_for
 
 __all__ = ["Trace", "forward"]
 
@@ -36,17 +42,27 @@
         route: Route name; empty when none matched.
         service: Service name.
         policy: Version of the routing policy that decided.
+        attempts: Sends that reached a server.
         sends: List of (server id, place in the object's order, outcome, ms).
         tried: Set of the server ids that were tried.
         unreached: Servers that did not accept a connection.
     """
 
-    __slots__ = ("policy", "route", "sends", "service", "tried", "unreached")
+    __slots__ = (
+        "attempts",
+        "policy",
+        "route",
+        "sends",
+        "service",
+        "tried",
+        "unreached",
+    )
 
     def __init__(self):
         self.route = ""
         self.service = ""
         self.policy = 0
+        self.attempts = 0
         self.sends = []
         self.tried = set()
         self.unreached = 0
@@ -97,30 +113,19 @@
 async def _attempt_all(front, req, route, trace, ends_at):
     """Sends until an answer is final; returns a Result as `forward` does."""
     last = None
-    attempts = 0
-    while attempts < route.max_attempts and trace.unreached < MAX_UNREACHED:
+    while trace.attempts < route.max_attempts and trace.unreached < MAX_UNREACHED:
         now = time.monotonic()
-        if trace.sends and not _may_send_again(front, trace, ends_at, attempts, now):
+        if trace.sends and not _may_send_again(front, trace, ends_at, now):
             break
-        backend, place = affinity.pick_backend(
-            front.view.backends,
-            front.orders,
-            trace.service,
-            route,
-            req.object_key,
-            req.request_id,
-            trace.tried,
-            front.cfg.region,
-            now,
-        )
+        backend, place = _pick(front, req, route, trace, now)
         if backend is None:
             break
         outcome, reply = await _send(front, req, route, trace, backend, place, ends_at)
         if outcome is Outcome.UNREACHED:
             trace.unreached += 1
             continue
-        attempts += 1
-        if attempts > 1:
+        trace.attempts += 1
+        if trace.attempts > 1:
             budget = budget_for(front, trace.service)
             windowbudget.note_retry(budget, time.monotonic())
         if outcome is Outcome.ANSWERED:
@@ -132,11 +137,26 @@
     return Ok(last) if last is not None else Error(_final_fault(front, route, trace))
 
 
-def _may_send_again(front, trace, ends_at, attempts, now):
+def _pick(front, req, route, trace, now):
+    """Returns the Backend for the next send, or None, and its place."""
+    return affinity.pick_backend(
+        front.view.backends,
+        front.orders,
+        trace.service,
+        route,
+        req.object_key,
+        req.request_id,
+        trace.tried,
+        front.cfg.region,
+        now,
+    )
+
+
+def _may_send_again(front, trace, ends_at, now):
     """Returns whether another send is due after the first one."""
     if ends_at - now < MIN_ATTEMPT_S:
         return False
-    if attempts == 0:
+    if trace.attempts == 0:
         return True
     budget = budget_for(front, trace.service)
     return windowbudget.allow_retry(budget, front.view.backends.instances, now)
@@ -173,7 +193,9 @@
     if not trace.sends:
         front.metrics.first_sends.labels(trace.service, place == 0).inc()
     try:
-        outcome, reply = await send_request(front, req, route, backend, ends_at)
+        outcome, reply = await _send_patiently(
+            front, req, route, trace, backend, ends_at
+        )
     except asyncio.CancelledError:
         # The caller left, or the server did not even answer at the deadline.
         late = time.monotonic() >= ends_at
@@ -187,12 +209,63 @@
     return outcome, reply
 
 
+async def _send_patiently(front, req, route, trace, backend, ends_at):
+    """Sends a request, and gives it up for another server once it is overdue."""
+    times = answer_times_for(front, route.name)
+    started = time.monotonic()
+    wait_s = patience.patience(times)
+    if not route.idempotent or wait_s >= ends_at - started:
+        return await send_request(front, req, route, backend, ends_at)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(None) as timer:
+
+            def switch():
+                if _may_switch(front, req, route, trace, times, ends_at):
+                    timer.reschedule(loop.time())
+
+            handle = loop.call_later(wait_s, switch)
+            try:
+                return await send_request(front, req, route, backend, ends_at)
+            finally:
+                handle.cancel()
+    except TimeoutError:
+        if not timer.expired():
+            raise
+    log_event(
+        front.log,
+        "send_overdue",
+        id=req.request_id,
+        server=backend.entry.server_id,
+        waited_ms=round((time.monotonic() - started) * 1000.0, 1),
+        usual_ms=round(patience.usual_time(times) * 1000.0, 1),
+    )
+    return Outcome.OVERDUE, None
+
+
+def _may_switch(front, req, route, trace, times, ends_at):
+    """Returns whether another server may still answer a request in time."""
+    now = time.monotonic()
+    if trace.attempts + 1 >= route.max_attempts:
+        return False
+    if ends_at - now < patience.usual_time(times):
+        return False
+    budget = budget_for(front, trace.service)
+    instances = front.view.backends.instances
+    if not windowbudget.allow_retry(budget, instances, now):
+        return False
+    return _pick(front, req, route, trace, now)[0] is not None
+
+
 def _note_send(front, trace, backend, place, outcome, reply, started):
     """Accounts for the end of a send."""
     if reply is None or reply.call is None:
         backend.in_flight -= 1
     elapsed_ms = round((time.monotonic() - started) * 1000.0, 1)
     trace.sends.append((backend.entry.server_id, place, outcome, elapsed_ms))
+    if outcome is Outcome.ANSWERED:
+        times = answer_times_for(front, trace.route)
+        patience.note_answer_time(times, elapsed_ms / 1000.0)
     front.metrics.sends.labels(trace.service, outcome.value).inc()
     if outcome is not Outcome.CANCELLED:
         _learn(front, backend, outcome, reply)
@@ -208,11 +281,11 @@
         return
     if outcome is Outcome.LOST:
         pause_s = backends.note_lost(view, backend, now)
-    elif outcome is Outcome.LATE:
+    elif outcome in (Outcome.LATE, Outcome.OVERDUE):
         pause_s = backends.note_late(view, backend, now)
     else:
         pause_s = backends.note_refused(view, backend, now)
-    if outcome is not Outcome.LATE or pause_s:
+    if outcome not in (Outcome.LATE, Outcome.OVERDUE) or pause_s:
         serverpool.retire_server(front.pool, server_id)
     log_event(
         front.log,
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -26,10 +26,13 @@
     LOST = "lost"
     SILENT = "silent"
     LATE = "late"
+    OVERDUE = "overdue"
     CANCELLED = "cancelled"
 
 
-UNKNOWN_OUTCOMES = frozenset((Outcome.LOST, Outcome.SILENT, Outcome.LATE))
+UNKNOWN_OUTCOMES = frozenset(
+    (Outcome.LOST, Outcome.SILENT, Outcome.LATE, Outcome.OVERDUE)
+)
 """Ends of a send after which the request may have run."""
 
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -7,11 +7,23 @@
 
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
+from flamingolift_decisions.patience import AnswerTimes
 from flamingolift_decisions.windowbudget import WindowBudget
 
 from flamingolift_front.serverpool import ServerPool
 
-__all__ = ["Front", "StorePort", "View", "ViewChange", "budget_for", "live_instances"]
+__all__ = [
+    "Front",
+    "StorePort",
+    "View",
+    "ViewChange",
+    "answer_times_for",
+    "budget_for",
+    "live_instances",
+]
+
+MAX_TIMED_ROUTES = 1024
+"""Routes whose answer times are kept; beyond that all are learned anew."""
 
 
 class ViewChange:
@@ -121,6 +133,7 @@
         metrics: FrontMetrics.
         pool: ServerPool.
         orders: AffinityCache.
+        answer_times: Map of route name to AnswerTimes.
         budgets: Map of service name to WindowBudget.
         connections: Set of the callers' CallerConnection that are open.
         links: Map of (host, port) to the PeerLink to a relay.
@@ -132,6 +145,7 @@
     """
 
     __slots__ = (
+        "answer_times",
         "budgets",
         "cfg",
         "connections",
@@ -159,6 +173,7 @@
         self.view = View()
         self.pool = ServerPool()
         self.orders = AffinityCache()
+        self.answer_times = {}
         self.budgets = {}
         self.connections = set()
         self.links = {}
@@ -181,6 +196,16 @@
     return budget
 
 
+def answer_times_for(front, route_name):
+    """Returns the AnswerTimes of a route."""
+    times = front.answer_times.get(route_name)
+    if times is None:
+        if len(front.answer_times) >= MAX_TIMED_ROUTES:
+            front.answer_times.clear()
+        times = front.answer_times[route_name] = AnswerTimes()
+    return times
+
+
 def live_instances(view):
     """Returns the InstanceEntry objects that are not leaving, by region."""
     by_region = collections.defaultdict(list)
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -85,6 +85,12 @@
         "server",
         "cause",
     ),
+    "send_overdue": (
+        "id",
+        "server",
+        "waited_ms",
+        "usual_ms",
+    ),
     "answer_cut": (
         "id",
         "cause",
