Keep to the relays that answer and ask a lost store less often

Change: followers go on with the relays that answer, and ask at once whether one does when another is missed (one that stands still looks like one without news); failed calls are repeated after up to 1 s (2 s by followers, 1.5 s by the registration, while peers are asked). Relays are used from six instances a region on. Sends are logged with the load known of the server, refusals with what was full. tools/bite.py has 13 broken variants of the front; the test of affinity used one request id for all requests and could not tell objects from requests: it now has one for each. Ruled out: waiting for all relays before going to the store without the question (two frozen and one dead relay left a follower without news; the test of that fails).

--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -147,9 +147,11 @@
     for number in range(2, 7):
         await join(platform, front, f"i-read-{number}", "reads")
     seen = set()
-    for _request in range(10):
+    for number in range(10):
         cookie = ["Cookie: a=b; Affinity-Key=21"]
-        seen.add((await ask(front, "GET", "/read/a", headers=cookie)).body)
+        reply = await ask(front, "GET", "/read/a", headers=cookie, rid=f"q{number}")
+        assert reply.status == 200
+        seen.add(reply.body)
     assert len(seen) == 1
 
 
--- a/packages/cli/src/flamingolift_cli/tests/test_help.py
+++ b/packages/cli/src/flamingolift_cli/tests/test_help.py
@@ -42,7 +42,7 @@
         "policy": 3,
         "revision": 40,
         "elapsed_ms": 120.0,
-        "sends": [["i-1", 0, "lost", 100.0]],
+        "sends": [["i-1", 0, 2, "lost", 100.0]],
         "detail": "the answer was lost",
     }
     failed = {
@@ -59,7 +59,10 @@
     log.write_text("\n".join(["not json", *lines]))
     shown = CliRunner().invoke(main, ["trace", "q7", str(log)])
     assert shown.exit_code == 0
-    assert "i-1 (place 0) gave no whole answer; it may have run" in shown.output
+    assert (
+        "i-1 (place 0, 2 requests known on it) gave no whole answer; it may have run"
+        in shown.output
+    )
     assert "3001 OUTCOME_UNKNOWN" in shown.output
     assert "i-2" not in shown.output
     missing = CliRunner().invoke(main, ["trace", "q8", str(log)])
--- a/packages/cli/src/flamingolift_cli/tracing.py
+++ b/packages/cli/src/flamingolift_cli/tracing.py
@@ -92,9 +92,10 @@
         f"{end['instance']} took it by policy {end['policy']}"
         f" (route {end['route'] or 'none'}, service {end['service'] or 'none'})"
     ]
-    for server, place, outcome, elapsed_ms in end["sends"]:
+    for server, place, load, outcome, elapsed_ms in end["sends"]:
         told = _SENDS.get(outcome, outcome)
-        parts.append(f"{server} (place {place}) {told} after {elapsed_ms} ms")
+        known = f"place {place}, {load} requests known on it"
+        parts.append(f"{server} ({known}) {told} after {elapsed_ms} ms")
     parts.append(_ending(end))
     return "; ".join(parts) + "."
 
--- a/packages/decisions/src/flamingolift_decisions/relays.py
+++ b/packages/decisions/src/flamingolift_decisions/relays.py
@@ -7,9 +7,8 @@
 RELAYS_PER_REGION = 3
 """Instances of a region that watch the store: with two of them cut off at once,
 the third still brings each change in time."""
-MIN_FOLLOWERS = 6
-"""Instances beside the relays from which on relaying saves more calls than a
-failed relay costs."""
+MIN_FOLLOWERS = 3
+"""Instances beside the relays from which on relaying is worth its connections."""
 
 
 def relays_of_region(entries, region):
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -253,11 +253,15 @@
         policy=trace.policy,
         revision=front.view.revision,
         elapsed_ms=round(elapsed_s * 1000.0, 1),
-        sends=[[s, p, o.value, ms] for s, p, o, ms in trace.sends],
+        sends=[_send_row(send) for send in trace.sends],
         detail=detail,
     )
 
 
+def _send_row(send):
+    return [send.server_id, send.place, send.load, send.outcome.value, send.elapsed_ms]
+
+
 async def _pass_on(front, conn, req, reply):
     """Sends a server's answer to the caller, unchanged but for its framing."""
     if reply.call is None:
--- a/packages/front/src/flamingolift_front/following.py
+++ b/packages/front/src/flamingolift_front/following.py
@@ -1,8 +1,8 @@
 """Chooses the source of an instance's view: the store, relays or any peer.
 
 In a large region a few relays watch the store and the others follow all of
-them. Whoever misses a relay goes back to the store, and whoever misses the store
-asks peers.
+them. Whoever misses all relays goes back to the store, and whoever misses the
+store asks peers.
 """
 
 import asyncio
@@ -23,12 +23,19 @@
 """The same after news of a relay, which has itself paused (s)."""
 RETRY_MIN_S = 0.2
 """First pause after a failed call (s)."""
-RETRY_MAX_S = 0.5
-"""Longest pause after failed calls (s), a part of the time in which a change
-must be in force once the store is back."""
+RETRY_MAX_S = 1.0
+"""Longest pause after failed calls (s), less than half of the shortest time in
+which a change must be in force once the store is back."""
+FOLLOWER_RETRY_MAX_S = 2.0
+"""The same for an instance that has relays (s): they ask the store more often, and
+peers that reach it are asked meanwhile."""
+PROBE_WAIT_S = 0.01
+"""Wait of a question that only shows whether a relay answers (s)."""
+RELAY_RETRY_S = 1.0
+"""Pause before a relay that failed is asked again (s)."""
 DIRECT_S = 6.0
-"""Time for which an instance watches the store itself after it missed a relay
-(s): until a dead one has left the list of instances."""
+"""Time for which an instance watches the store itself after it missed all relays
+(s): until dead ones have left the list of instances."""
 PULL_AFTER_S = 0.6
 """Time without the store after which peers are asked (s): a few failed calls."""
 PULL_INTERVAL_S = 0.8
@@ -54,7 +61,8 @@
             changed = await viewsync.follow_store(front)
         except FaultError:
             await asyncio.sleep(pause * front.rng.uniform(0.7, 1.3))
-            pause = min(RETRY_MAX_S, pause * 2.0)
+            longest = FOLLOWER_RETRY_MAX_S if _relays(front) else RETRY_MAX_S
+            pause = min(longest, pause * 2.0)
             continue
         pause = RETRY_MIN_S
         if changed:
@@ -71,20 +79,27 @@
     """Follows relays for as long as they are the ones to follow.
 
     Returns:
-        False when one of them failed, so that the store is to be asked.
+        False when all of them fail, so that the store is to be asked.
     """
-    asking = {}
+    names = [entry.instance_id for entry in relays]
+    asking, failing = {}, set()
     try:
-        while [e.instance_id for e in _relays(front)] == [
-            e.instance_id for e in relays
-        ]:
+        while [entry.instance_id for entry in _relays(front)] == names:
             for entry in relays:
-                if entry.instance_id not in asking:
-                    question = _ask_relay(front, _link(front, entry))
-                    asking[entry.instance_id] = asyncio.ensure_future(question)
+                name = entry.instance_id
+                if name not in asking:
+                    pause = RELAY_RETRY_S if name in failing else 0.0
+                    question = _ask_relay(front, _link(front, entry), pause)
+                    asking[name] = asyncio.ensure_future(question)
             await asyncio.wait(asking.values(), return_when=asyncio.FIRST_COMPLETED)
-            ended = [name for name, task in asking.items() if task.done()]
-            if not all([asking.pop(name).result() for name in ended]):
+            missed = False
+            for name in [name for name, task in asking.items() if task.done()]:
+                if asking.pop(name).result():
+                    failing.discard(name)
+                elif name not in failing:
+                    failing.add(name)
+                    missed = True
+            if missed and not await _hear_any(front, relays, failing):
                 return False
             await asyncio.sleep(RELAY_PAUSE_S)
         return True
@@ -94,10 +109,27 @@
         await asyncio.gather(*asking.values(), return_exceptions=True)
 
 
-async def _ask_relay(front, link):
-    """Takes over a relay's next news; returns whether it answered."""
+async def _hear_any(front, relays, failing):
+    """Returns whether a relay beside the failing ones answers at once.
+
+    Notes:
+        One that stands still cannot be told from one without news otherwise.
+    """
+    others = [entry for entry in relays if entry.instance_id not in failing]
+    links = [peersync.PeerLink((e.host, e.peer_port)) for e in others]
+    questions = [_ask_relay(front, link, 0.0, PROBE_WAIT_S) for link in links]
+    try:
+        return any(await asyncio.gather(*questions))
+    finally:
+        for link in links:
+            peersync.close_link(link)
+
+
+async def _ask_relay(front, link, pause_s, wait_s=peersync.MAX_WAIT_S):
+    """Takes over a relay's next news after a pause; returns whether it answered."""
+    await asyncio.sleep(pause_s)
     try:
-        news = await peersync.ask_peer(front, link, peersync.MAX_WAIT_S)
+        news = await peersync.ask_peer(front, link, wait_s)
     except peersync.PeerError as exc:
         peer = f"{link.address[0]}:{link.address[1]}"
         log_event(front.log, "peer_failed", peer=peer, cause=str(exc))
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -19,7 +19,7 @@
 from flamingolift_front.sending import UNKNOWN_OUTCOMES, Outcome, send_request
 from flamingolift_front.state import answer_times_for, budget_for
 
-__all__ = ["Trace", "forward"]
+__all__ = ["SendRecord", "Trace", "forward"]
 
 LATE_MARGIN_S = 0.12
 """Time beyond the deadline in which a server's own last answer may arrive (s):
@@ -35,6 +35,27 @@
 """Failures of a server that an idempotent request is sent again after."""
 
 
+class SendRecord:
+    """One send of a request.
+
+    Attributes:
+        server_id: Id of the server.
+        place: Place of the server in the object's order.
+        load: Requests on the server as this instance knew before (count).
+        outcome: Outcome.
+        elapsed_ms: Time that the send took (ms).
+    """
+
+    __slots__ = ("elapsed_ms", "load", "outcome", "place", "server_id")
+
+    def __init__(self, server_id, place, load):
+        self.server_id = server_id
+        self.place = place
+        self.load = load
+        self.outcome = Outcome.CANCELLED
+        self.elapsed_ms = 0.0
+
+
 class Trace:
     """What happened to a request, for its log line.
 
@@ -43,7 +64,7 @@
         service: Service name.
         policy: Version of the routing policy that decided.
         attempts: Sends that reached a server.
-        sends: List of (server id, place in the object's order, outcome, ms).
+        sends: List of the SendRecord objects that ended.
         tried: Set of the server ids that were tried.
         unreached: Servers that did not accept a connection.
     """
@@ -101,7 +122,7 @@
 def _timeout_fault(trace):
     if not trace.sends:
         return Fault(ResultCode.DEADLINE_BEFORE_RUN, "no server was reached in time")
-    server_id = trace.sends[-1][0]
+    server_id = trace.sends[-1].server_id
     return Fault(ResultCode.BACKEND_TIMEOUT, f"{server_id} did not answer in time")
 
 
@@ -171,12 +192,17 @@
 
 def _final_fault(front, route, trace):
     """Returns the Fault of a request that no server answered."""
-    if any(outcome in UNKNOWN_OUTCOMES for _id, _place, outcome, _ms in trace.sends):
+    if any(send.outcome in UNKNOWN_OUTCOMES for send in trace.sends):
         return Fault(ResultCode.BACKEND_FAILED, "no server answered whole")
     view, now = front.view.backends, time.monotonic()
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
     if warm or cold:
-        return _refusal(front, ResultCode.OVERLOADED, "all servers are full")
+        usual = backends.usual_load(view, trace.service, now)
+        detail = (
+            f"all servers are full: {len(warm)} in use, {len(cold)} cold,"
+            f" usual load {usual:.2f}"
+        )
+        return _refusal(front, ResultCode.OVERLOADED, detail)
     if trace.unreached:
         detail = "no server accepted a connection"
     else:
@@ -188,25 +214,27 @@
     """Sends a request to one server; returns a tuple of Outcome and Reply."""
     started = time.monotonic()
     server_id = backend.entry.server_id
+    send = SendRecord(server_id, place, backends.estimate_load(backend, started))
     trace.tried.add(server_id)
     backends.note_sent(front.view.backends, backend, started)
     if not trace.sends:
         front.metrics.first_sends.labels(trace.service, place == 0).inc()
     try:
-        outcome, reply = await _send_patiently(
+        send.outcome, reply = await _send_patiently(
             front, req, route, trace, backend, ends_at
         )
     except asyncio.CancelledError:
         # The caller left, or the server did not even answer at the deadline.
-        late = time.monotonic() >= ends_at
-        outcome = Outcome.LATE if late else Outcome.CANCELLED
-        _note_send(front, trace, backend, place, outcome, None, started)
+        if time.monotonic() >= ends_at:
+            send.outcome = Outcome.LATE
+        _note_send(front, trace, backend, send, None, started)
         raise
     except Exception:
-        _note_send(front, trace, backend, place, Outcome.LOST, None, started)
+        send.outcome = Outcome.LOST
+        _note_send(front, trace, backend, send, None, started)
         raise
-    _note_send(front, trace, backend, place, outcome, reply, started)
-    return outcome, reply
+    _note_send(front, trace, backend, send, reply, started)
+    return send.outcome, reply
 
 
 async def _send_patiently(front, req, route, trace, backend, ends_at):
@@ -257,18 +285,18 @@
     return _pick(front, req, route, trace, now)[0] is not None
 
 
-def _note_send(front, trace, backend, place, outcome, reply, started):
+def _note_send(front, trace, backend, send, reply, started):
     """Accounts for the end of a send."""
     if reply is None or reply.call is None:
         backend.in_flight -= 1
-    elapsed_ms = round((time.monotonic() - started) * 1000.0, 1)
-    trace.sends.append((backend.entry.server_id, place, outcome, elapsed_ms))
-    if outcome is Outcome.ANSWERED:
-        times = answer_times_for(front, trace.route)
-        patience.note_answer_time(times, elapsed_ms / 1000.0)
-    front.metrics.sends.labels(trace.service, outcome.value).inc()
-    if outcome is not Outcome.CANCELLED:
-        _learn(front, backend, outcome, reply)
+    elapsed_s = time.monotonic() - started
+    send.elapsed_ms = round(elapsed_s * 1000.0, 1)
+    trace.sends.append(send)
+    if send.outcome is Outcome.ANSWERED:
+        patience.note_answer_time(answer_times_for(front, trace.route), elapsed_s)
+    front.metrics.sends.labels(trace.service, send.outcome.value).inc()
+    if send.outcome is not Outcome.CANCELLED:
+        _learn(front, backend, send.outcome, reply)
 
 
 def _learn(front, backend, outcome, reply):
--- a/packages/front/src/flamingolift_front/registration.py
+++ b/packages/front/src/flamingolift_front/registration.py
@@ -14,8 +14,11 @@
 look-ups before callers' cached answers have run out."""
 RENEW_INTERVAL_S = 1.5
 """Time between renewals (s): two may fail before the lease ends."""
-RETRY_S = 0.5
-"""Pause after a failed call (s)."""
+RETRY_MIN_S = 0.5
+"""First pause after a failed call (s)."""
+RETRY_MAX_S = 1.5
+"""Longest pause after failed calls (s): an entry that lapsed in an outage is back
+before others stop holding it."""
 
 
 def own_entry(front):
@@ -43,13 +46,14 @@
         front: Front.
     """
     lease = None
+    retry_s = RETRY_MIN_S
     try:
         while True:
             try:
                 lease = await _renew_or_register(front, lease)
-                pause = RENEW_INTERVAL_S
+                pause, retry_s = RENEW_INTERVAL_S, RETRY_MIN_S
             except FaultError:
-                pause = RETRY_S
+                pause, retry_s = retry_s, min(RETRY_MAX_S, retry_s * 2.0)
             await asyncio.sleep(pause * front.rng.uniform(0.9, 1.1))
     finally:
         front.tasks.add(asyncio.ensure_future(resign(front, lease)))
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -15,6 +15,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DECISIONS = "packages/decisions/src/flamingolift_decisions"
 DAEMON = "packages/daemon/src/flamingolift_daemon"
+FRONT = "packages/front/src/flamingolift_front"
+PATH = "integration/test_platform.py"
+VIEW = "integration/test_platform_view.py"
 TIMEOUT_S = 180
 
 CASES = {
@@ -97,6 +100,100 @@
         ],
         f"{DECISIONS}/tests/test_membership.py::test_documents_never_go_back",
     ),
+    "F1 send a booking again after a lost answer": (
+        [
+            (
+                f"{FRONT}/forwarding.py",
+                "UNKNOWN_OUTCOMES and not route.idempotent:",
+                "():",
+            )
+        ],
+        f"{PATH}::test_booking_is_sent_once_when_its_answer_is_lost",
+    ),
+    "F2 go by the method instead of the route": (
+        [
+            (
+                f"{FRONT}/forwarding.py",
+                "UNKNOWN_OUTCOMES and not route.idempotent:",
+                'UNKNOWN_OUTCOMES and req.method != b"GET":',
+            )
+        ],
+        f"{PATH}::test_unsafe_get_is_sent_once_too",
+    ),
+    "F3 take every answer on a connection": (
+        [(f"{FRONT}/sending.py", "return echoed == req.request_id", "return True")],
+        f"{PATH}::test_second_answer_belongs_to_no_request",
+    ),
+    "F4 choose servers without regard to objects": (
+        [
+            (
+                f"{DECISIONS}/affinity.py",
+                "order = rank_backends(cache, view, service, object_key)",
+                "order = rank_backends(cache, view, service, request_id)",
+            )
+        ],
+        f"{PATH}::test_objects_keep_their_server",
+    ),
+    "F5 go on when the caller has left": (
+        [
+            (
+                f"{FRONT}/callers.py",
+                "conn.stream.on_end = task.cancel",
+                "conn.stream.on_end = None",
+            )
+        ],
+        f"{PATH}::test_caller_that_leaves_cancels_the_request",
+    ),
+    "F6 wait for an overdue server": (
+        [(f"{DECISIONS}/patience.py", "PATIENCE_RATIO = 4.0", "PATIENCE_RATIO = 4e9")],
+        f"{PATH}::test_overdue_request_goes_to_another_server",
+    ),
+    "F7 ignore that a server leaves": (
+        [(f"{DECISIONS}/backends.py", 'if entry.state == "leaving" or', "if")],
+        f"{VIEW}::test_leaving_server_gets_nothing_new",
+    ),
+    "F8 take whichever policy comes": (
+        [
+            (
+                f"{FRONT}/viewsync.py",
+                "policy.number <= view.table.number",
+                "policy.number == -1",
+            )
+        ],
+        f"{VIEW}::test_configuration_comes_into_force_and_never_goes_back",
+    ),
+    "F9 drop entries that lapse in an outage": (
+        [(f"{FRONT}/viewsync.py", "LAPSED_SHARE = 0.34", "LAPSED_SHARE = 34.0")],
+        f"{VIEW}::test_entries_that_lapse_together_in_an_outage_are_held",
+    ),
+    "F10 watch the store only": (
+        [
+            (
+                f"{FRONT}/following.py",
+                "if lost_at is None or time",
+                "if True or time",
+            )
+        ],
+        f"{VIEW}::test_instance_that_the_store_rejects_hears_changes_from_peers",
+    ),
+    "F11 trust a relay that stands still": (
+        [
+            (
+                f"{FRONT}/following.py",
+                "if missed and not await _hear_any(front, relays, failing):",
+                "if len(failing) == len(relays):",
+            )
+        ],
+        f"{VIEW}::test_large_region_follows_relays_and_bears_two_that_stand_still",
+    ),
+    "F12 spread an object over all servers in an overload": (
+        [(f"{DECISIONS}/affinity.py", "BUSY_SERVERS = 2", "BUSY_SERVERS = 99")],
+        "integration/test_fleetmodel.py::test_overload_ends_with_its_cause",
+    ),
+    "F13 stop at once": (
+        [(f"{FRONT}/run.py", "grace_s = front.cfg.grace_s", "grace_s = 0.0")],
+        f"{PATH}::test_planned_stop_ends_what_runs_and_exits_in_time",
+    ),
 }
 
 
@@ -121,6 +218,7 @@
                 raise SystemExit(f"{name} has changed; correct the case")
             path.write_text(text.replace(old, new, 1))
         sources = [str(p) for p in copy.glob("packages/*/src")]
+        sources.append(str(copy / "platform/src"))
         sources.append(str(copy / "standins/src"))
         done = subprocess.run(
             [sys.executable, "-m", "pytest", "-x", "-q", test],
