Refuse at once the part of the requests that the queues may not hold

Change: a new request is refused before its first send with the probability by which the service's usual load exceeds what the queues may hold (two a slot).

--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "admission",
     "affinity",
     "backends",
     "bookings",
--- /dev/null
+++ b/packages/decisions/src/flamingolift_decisions/admission.py
@@ -0,0 +1,47 @@
+"""Which requests are refused at once, so that the others are answered in time.
+
+An instance sees few answers of each server, so it cannot keep each queue short by
+itself. It knows the usual load of a service, and refuses the part of its requests
+by which that exceeds what the queues may hold.
+"""
+
+from flamingolift_decisions.affinity import QUEUE_PER_SLOT
+from flamingolift_decisions.backends import usual_load
+
+__all__ = ["FULL_LOAD", "refused_share", "turn_away"]
+
+FULL_LOAD = 1.0 + QUEUE_PER_SLOT
+"""Usual load at which the queues of a service are as long as they may be (ratio to
+its slots)."""
+
+
+def refused_share(load):
+    """Returns the part of new requests to refuse (ratio).
+
+    Args:
+        load: Usual load of the service (ratio to its slots).
+
+    Examples:
+        >>> refused_share(1.5)
+        0.0
+        >>> refused_share(4.0)
+        0.5
+
+    Notes:
+        The share follows the excess, so that it falls as the queues shorten; Beyer
+        et al., "Site Reliability Engineering", 2016, chapter 21, throttle at the
+        client by the share of rejected requests in the same way.
+    """
+    return max(0.0, 1.0 - FULL_LOAD / load) if load > 0.0 else 0.0
+
+
+def turn_away(view, service, now):
+    """Returns whether to refuse a new request before it is sent.
+
+    Args:
+        view: BackendView.
+        service: Service name.
+        now: Current time (s, monotonic).
+    """
+    share = refused_share(usual_load(view, service, now))
+    return share > 0.0 and view.rng.random() < share
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -245,6 +245,7 @@
     log_event(
         front.log,
         "request_done",
+        failure=outcome != "answered" or status >= 500,
         id=req.request_id,
         outcome=outcome,
         status=status,
--- a/packages/front/src/flamingolift_front/eventlog.py
+++ b/packages/front/src/flamingolift_front/eventlog.py
@@ -11,7 +11,8 @@
 __all__ = ["EventLog", "flush_log", "log_event"]
 
 LINES_PER_S = 60
-"""Lines of one event within a second; further ones are counted (1/s)."""
+"""Lines of one event within a second; further ones are counted (1/s). Failures have
+as many of their own."""
 MAX_PENDING_BYTES = 1 << 18
 """Lines kept while the reader does not read (bytes)."""
 RETRY_S = 0.05
@@ -27,7 +28,8 @@
         pending: Bytes that wait to be written.
         scheduled: Whether a write is due.
         second: Current second (s, monotonic).
-        lines: Counter of the lines of each event in the current second.
+        lines: Counter of the lines in the current second by event and whether they
+            tell a failure.
         dropped: Counter of the lines of each event that were left out.
     """
 
@@ -56,19 +58,21 @@
         self.dropped = collections.Counter()
 
 
-def log_event(log, event, **fields):
+def log_event(log, event, *, failure=False, **fields):
     """Queues one line.
 
     Args:
         log: EventLog.
         event: Name of the event, as listed in schema/events.toml.
+        failure: Whether the line tells a failure, which lines of the same event
+            that tell successes must not push out.
         **fields: Values of the line; they must be JSON values.
     """
     now = time.monotonic()
     if int(now) != log.second:
         _start_second(log, int(now))
-    log.lines[event] += 1
-    if log.lines[event] > LINES_PER_S or len(log.pending) > MAX_PENDING_BYTES:
+    log.lines[event, failure] += 1
+    if log.lines[event, failure] > LINES_PER_S or len(log.pending) > MAX_PENDING_BYTES:
         log.dropped[event] += 1
         return
     _append(log, now, event, fields)
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 from flamingolift_decisions import (
+    admission,
     affinity,
     backends,
     patience,
@@ -110,7 +111,10 @@
         return Error(Fault(ResultCode.NO_ROUTE, f"policy {table.number}"))
     trace.route = route.name
     trace.service = routetable.pick_service(route, req.request_id) or ""
-    windowbudget.note_request(budget_for(front, trace.service), time.monotonic())
+    now = time.monotonic()
+    windowbudget.note_request(budget_for(front, trace.service), now)
+    if admission.turn_away(front.view.backends, trace.service, now):
+        return Error(_overloaded(front, trace, "the queues are long", now))
     ends_at = min(req.deadline_at, req.received_at + route.timeout_ms / 1000.0)
     try:
         async with asyncio.timeout(ends_at + LATE_MARGIN_S - time.monotonic()):
@@ -131,6 +135,12 @@
     return Fault(code, detail, retry_after_ms=pause_ms)
 
 
+def _overloaded(front, trace, why, now):
+    usual = backends.usual_load(front.view.backends, trace.service, now)
+    detail = f"{why}; usual load {usual:.2f}"
+    return _refusal(front, ResultCode.OVERLOADED, detail)
+
+
 async def _attempt_all(front, req, route, trace, ends_at):
     """Sends until an answer is final; returns a Result as `forward` does."""
     last = None
@@ -197,12 +207,8 @@
     view, now = front.view.backends, time.monotonic()
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
     if warm or cold:
-        usual = backends.usual_load(view, trace.service, now)
-        detail = (
-            f"all servers are full: {len(warm)} in use, {len(cold)} cold,"
-            f" usual load {usual:.2f}"
-        )
-        return _refusal(front, ResultCode.OVERLOADED, detail)
+        why = f"all servers are full, {len(warm)} in use and {len(cold)} cold"
+        return _overloaded(front, trace, why, now)
     if trace.unreached:
         detail = "no server accepted a connection"
     else:
--- a/packages/front/src/flamingolift_front/tests/test_eventlog.py
+++ b/packages/front/src/flamingolift_front/tests/test_eventlog.py
@@ -32,7 +32,8 @@
     event = call.args[_LOG_CALLS[_name(call)]]
     if isinstance(event, ast.Constant):
         if _name(call) == "log_event":
-            yield event.value, [keyword.arg for keyword in call.keywords]
+            names = [keyword.arg for keyword in call.keywords]
+            yield event.value, [name for name in names if name != "failure"]
         else:
             yield event.value, [key.value for key in call.args[3].keys]
 
@@ -67,6 +68,18 @@
     assert told[0]["counts"]["stopped"] >= 1000 - 2 * eventlog.LINES_PER_S
 
 
+async def test_flood_of_successes_leaves_the_lines_of_failures():
+    reader, writer = os.pipe()
+    log = eventlog.EventLog(writer, "i1")
+    for number in range(1000):
+        eventlog.log_event(log, "stopped", unfinished=0)
+        if number % 100 == 99:
+            eventlog.log_event(log, "stopped", failure=True, unfinished=1)
+    await asyncio.sleep(0)
+    failures = [line for line in read_lines(reader) if line.get("unfinished")]
+    assert len(failures) == 10
+
+
 async def test_reader_that_does_not_read_costs_lines_and_no_time():
     reader, writer = os.pipe()
     log = eventlog.EventLog(writer, "i1")
--- a/standins/src/flamingolift_standins/fleetmodel.py
+++ b/standins/src/flamingolift_standins/fleetmodel.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 
-from flamingolift_decisions import affinity, backends
+from flamingolift_decisions import admission, affinity, backends
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
 from flamingolift_model.plan import BackendEntry
@@ -269,7 +269,10 @@
     req.instance = model.rng.choice(near or model.instances)
     req.tries += 1
     req.tried.clear()
-    _send(model, now, req)
+    if admission.turn_away(req.instance.view, SERVICE, now):
+        _fail(model, now, req)
+    else:
+        _send(model, now, req)
 
 
 def _send(model, now, req):
