Read out the policy and its exceptions at a front

Cause: 'flamingolift explain' asked the product's own instances only; on the users' platform nobody could read out why a request is handled as it is. Change: a front answers /explain on its inner listener by a decision of its own module (policy, route and services; each evacuation with its reason; an object's servers and their condition); 'flamingolift explain-path FRONT HOST PATH' reads it. Test with real processes while a domain is evacuated. Ruled out: another meaning for the arguments of 'explain' (a service and a client there, a host and a path here).

--- a/integration/test_platform_view.py
+++ b/integration/test_platform_view.py
@@ -266,3 +266,25 @@
     put_policy(platform.store, 42)
     others.remove(names[relays[2]])
     await wait_until(lambda: all(in_force(f, 42) for f in others), 2.5)
+
+
+async def test_front_explains_the_policy_and_its_exceptions(platform, front):
+    put_item(platform.store, "op/evacuate/north", {})
+    await wait_until(lambda: events(front, "evacuation_started"))
+    command = [sys.executable, "-m", "flamingolift_cli.main", "explain-path"]
+    command += [f"127.0.0.1:{inner_port(front)}", HOST, "/read/a", "--object", "21"]
+    process = await asyncio.create_subprocess_exec(*command, stdout=-1)
+    told = (await process.communicate())[0].decode().splitlines()
+    assert process.returncode == 0
+    assert told[0].startswith("By policy 1, the default for all callers, ")
+    assert "goes to reads (weight 1)." in told[0]
+    assert "Exception: the operator is emptying north." in told
+    assert "reads has 1 servers, 0 of them in use." in told
+    assert "Object 21 prefers i-read-1 (out of service)." in told
+    unknown = await call(inner_port(front), "GET", "/other")
+    assert unknown.status == 404
+
+
+def inner_port(front):
+    """Returns the port that other instances and the command line use."""
+    return front.ports["control"]
--- /dev/null
+++ b/packages/cli/src/flamingolift_cli/frontview.py
@@ -0,0 +1,53 @@
+"""Asks a front why a request is handled as it is."""
+
+import asyncio
+import json
+
+import aiohttp
+import click
+from flamingolift_model import CODE_FACTS, ResultCode
+
+__all__ = ["explain_request_path"]
+
+TIMEOUT_S = 3.0
+"""Longest time for the front's answer (s): an operator waits with a caller on the
+phone."""
+
+
+async def _ask(address, query):
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.get(f"http://{address}/explain", params=query) as reply,
+    ):
+        reply.raise_for_status()
+        return await reply.json()
+
+
+@click.command(
+    "explain-path",
+    epilog="Example: flamingolift explain-path 10.1.0.15:7620 a.example /maps/north",
+)
+@click.argument("front")
+@click.argument("host")
+@click.argument("path")
+@click.option("--object", "object_key", default="", help="Object of the request.")
+@click.pass_obj
+def explain_request_path(ctx, front, host, path, object_key):
+    """Says why a front handles a request as it does, for reading out.
+
+    FRONT is the host and port of an instance's inner listener.
+    """
+    query = {"host": host, "path": path, "object": object_key}
+    try:
+        page = asyncio.run(_ask(front, query))
+    except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        code = ResultCode.PEER_UNREACHABLE
+        click.echo(f"{code.value} {code.name}: {type(exc).__name__} {exc}", err=True)
+        raise SystemExit(CODE_FACTS[code].exit_status) from exc
+    if ctx.as_json:
+        click.echo(json.dumps(page, indent=2))
+        return
+    for sentence in page["sentences"]:
+        click.echo(sentence)
+    click.echo(f"{page['instance']}, view of revision {page['revision']}.")
--- a/packages/cli/src/flamingolift_cli/main.py
+++ b/packages/cli/src/flamingolift_cli/main.py
@@ -19,6 +19,7 @@
     read_live_list,
     wait_in_force,
 )
+from flamingolift_cli.frontview import explain_request_path
 from flamingolift_cli.policyhead import change_head, read_head
 from flamingolift_cli.tracing import trace
 
@@ -440,6 +441,7 @@
     return Report(lines or ["no change was applied yet"], {"history": rows})
 
 
+main.add_command(explain_request_path)
 main.add_command(trace)
 
 
--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -20,6 +20,7 @@
     "policycheck",
     "pool",
     "quarantine",
+    "reasons",
     "relays",
     "routetable",
     "servers",
--- /dev/null
+++ b/packages/front/src/flamingolift_front/inner.py
@@ -0,0 +1,51 @@
+"""Calls of other instances and of the operator's command line."""
+
+import time
+import urllib.parse
+
+from flamingolift_decisions.reasons import explain_target
+from flamingolift_model import Fault, ResultCode
+
+from flamingolift_front.peersync import answer_peer
+from flamingolift_front.problems import json_answer, problem_answer
+
+__all__ = ["answer_inner"]
+
+
+async def answer_inner(front, target):
+    """Answers a call on the inner listener.
+
+    Args:
+        front: Front.
+        target: Request target: `/view` for news of the view, `/explain` with
+            `host`, `path` and `object` for the reasons behind a request.
+
+    Returns:
+        Answer; a problem with status 404 for any other target.
+    """
+    split = urllib.parse.urlsplit(target)
+    if split.path == "/view":
+        return await answer_peer(front, target)
+    if split.path == "/explain":
+        query = dict(urllib.parse.parse_qsl(split.query))
+        return json_answer(200, _explain(front, query))
+    return problem_answer(Fault(ResultCode.NOT_FOUND, f"no call {split.path:.80}"))
+
+
+def _explain(front, query):
+    view = front.view
+    sentences = explain_target(
+        view.table,
+        view.backends,
+        front.orders,
+        query.get("host", ""),
+        query.get("path", "/"),
+        query.get("object", ""),
+        time.monotonic(),
+    )
+    return {
+        "instance": front.cfg.instance_id,
+        "policy": view.table.number if view.table else 0,
+        "revision": view.revision,
+        "sentences": sentences,
+    }
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -9,7 +9,7 @@
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.eventlog import flush_log, log_event
 from flamingolift_front.following import follow_fleet, follow_peers
-from flamingolift_front.peersync import answer_peer
+from flamingolift_front.inner import answer_inner
 from flamingolift_front.registration import keep_registered
 
 __all__ = ["run_front"]
@@ -73,7 +73,7 @@
     handlers = {
         cfg.ready_port: answer_ready,
         cfg.lookup_port: answer_lookup,
-        cfg.peer_port: answer_peer,
+        cfg.peer_port: answer_inner,
         cfg.metrics_port: lookups.serve_metrics,
     }
     listeners = [await _open_listener(cfg, cfg.caller_port, _caller_opener(front))]
