--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 import psutil
 
 from bench import micro
+from bench.changes import measure_configuration, measure_drains
 from bench.control import measure_idle
 from bench.deployments import COOPERATIVE, RAIL
 from bench.moves import measure_moves
@@ -17,8 +18,6 @@
 from bench.report import print_tables, write_json, write_plots
 from bench.scenarios import (
     measure_added_latency,
-    measure_configuration,
-    measure_drains,
     measure_headroom,
     measure_trouble,
     running_fleet,
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,7 +9,6 @@
 from flamingolift_standins.commands import run_command
 from flamingolift_standins.fleet import (
     RAIL_REGIONS,
-    backend_reports,
     operator_get,
     start_fleet,
     start_instances,
@@ -17,6 +16,7 @@
     wait_ready,
     wait_until,
 )
+from flamingolift_standins.fleetcontrol import backend_reports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SERVICES = [
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -4,7 +4,7 @@
 import time
 
 import psutil
-from flamingolift_daemon import distribution, peerlinks
+from flamingolift_daemon import distribution, heartbeats, peerlinks
 from flamingolift_daemon.wiring import make_instance, serve_peers
 from flamingolift_decisions.membership import note_contact
 from flamingolift_model.plan import InstanceEntry, LiveList
@@ -84,8 +84,8 @@
         distribution.take_document(instance, "live", live, "bench")
         for run in (
             serve_peers,
-            peerlinks.keep_peers,
-            peerlinks.run_heartbeats,
+            heartbeats.keep_peers,
+            heartbeats.run_heartbeats,
             lambda i: distribution.run_membership(i, lambda *_: None),
         ):
             tasks.append(asyncio.ensure_future(run(instance)))
--- a/integration/test_booking_storm.py
+++ b/integration/test_booking_storm.py
@@ -7,12 +7,11 @@
 import aiohttp
 import pytest
 from flamingolift_model import CODE_FACTS
-from flamingolift_standins.fleet import (
+from flamingolift_standins.fleet import start_instance, wait_ready
+from flamingolift_standins.fleetcontrol import (
     backend_reports,
     publish_live,
     set_store_faults,
-    start_instance,
-    wait_ready,
 )
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
--- a/integration/test_config.py
+++ b/integration/test_config.py
@@ -8,11 +8,11 @@
 from flamingolift_standins.commands import apply_text, run_command
 from flamingolift_standins.fleet import (
     operator_get,
-    set_store_faults,
     start_instance,
     wait_ready,
     wait_until,
 )
+from flamingolift_standins.fleetcontrol import set_store_faults
 from helpers import RAIL_POLICY
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
--- a/integration/test_drain.py
+++ b/integration/test_drain.py
@@ -7,13 +7,11 @@
 import aiohttp
 import pytest
 from flamingolift_standins.commands import run_command
-from flamingolift_standins.fleet import (
+from flamingolift_standins.fleet import start_instance, wait_ready, wait_until
+from flamingolift_standins.fleetcontrol import (
     backend_reports,
     publish_live,
     set_backend,
-    start_instance,
-    wait_ready,
-    wait_until,
 )
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
--- a/integration/test_faults.py
+++ b/integration/test_faults.py
@@ -9,15 +9,17 @@
 import pytest
 from flamingolift_standins.faultproxy import start_proxy
 from flamingolift_standins.fleet import (
-    backend_reports,
     operator_get,
-    publish_live,
-    reset_backends,
-    set_backend,
     start_instance,
     wait_ready,
     wait_until,
 )
+from flamingolift_standins.fleetcontrol import (
+    backend_reports,
+    publish_live,
+    reset_backends,
+    set_backend,
+)
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
--- a/integration/test_moves.py
+++ b/integration/test_moves.py
@@ -7,11 +7,8 @@
 import pytest
 from flamingolift_decisions.shifts import largest_move
 from flamingolift_standins.commands import apply_text
-from flamingolift_standins.fleet import (
-    operator_get,
-    set_store_faults,
-    wait_until,
-)
+from flamingolift_standins.fleet import operator_get, wait_until
+from flamingolift_standins.fleetcontrol import set_store_faults
 from helpers import RAIL_POLICY
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
--- a/integration/test_path.py
+++ b/integration/test_path.py
@@ -10,11 +10,8 @@
 import psutil
 import pytest
 from flamingolift_standins.backend import file_bytes
-from flamingolift_standins.fleet import (
-    backend_reports,
-    operator_get,
-    wait_until,
-)
+from flamingolift_standins.fleet import operator_get, wait_until
+from flamingolift_standins.fleetcontrol import backend_reports
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
--- a/packages/daemon/src/flamingolift_daemon/bookinghome.py
+++ b/packages/daemon/src/flamingolift_daemon/bookinghome.py
@@ -1,16 +1,9 @@
-"""Bookings: the home that runs them, the witness, and any other instance."""
+"""Bookings: the home that runs them, and what others ask of home and witness."""
 
 import asyncio
 
 from expression import Error, Ok, Result
-from flamingolift_decisions.bookings import (
-    begin_booking,
-    complete_claim,
-    expire_records,
-    finish_booking,
-    record_claim,
-    resolve_key,
-)
+from flamingolift_decisions.bookings import begin_booking, finish_booking, resolve_key
 from flamingolift_decisions.exceptions import rules_for
 from flamingolift_decisions.hashing import digest_request
 from flamingolift_model import Fault, ResultCode, peer
@@ -25,24 +18,16 @@
 )
 from flamingolift_daemon.instance import start_task
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import call_peer, get_link, send_message
+from flamingolift_daemon.peerlinks import call_peer, get_link
 from flamingolift_daemon.slots import release_slot
 
-__all__ = [
-    "handle_booking",
-    "handle_claim",
-    "handle_completion",
-    "handle_resolve",
-    "run_record_expiry",
-    "take_booking",
-]
+__all__ = ["resolve_here", "take_at_home", "take_booking"]
 
 CLAIM_TIMEOUT_S = 1.0
 COMPLETION_TIMEOUT_S = 0.5
 MAX_ANSWER_BYTES = 262_144
 KEPT_ANSWER_BYTES = 65_536
 ROUTE_SLACK_S = 0.2
-EXPIRY_INTERVAL_S = 5.0
 
 
 async def take_booking(instance, booking) -> Result:
@@ -65,7 +50,7 @@
         return Error(Fault(ResultCode.KEY_INVALID, detail))
     me = (instance.cfg.instance_id, instance.incarnation)
     if (facts.home_id, facts.home_incarnation) == me:
-        return await _take_at_home(instance, booking, facts)
+        return await take_at_home(instance, booking, facts)
     at_home = await _ask_home(instance, booking, facts)
     if at_home.is_ok() or at_home.error.code != ResultCode.PEER_UNREACHABLE:
         return at_home
@@ -88,7 +73,7 @@
     digest = _digest_of(booking)
     me = (instance.cfg.instance_id, instance.incarnation)
     if (facts.witness_id, facts.witness_incarnation) == me:
-        return await _resolve_here(
+        return await resolve_here(
             instance, booking.key, digest, facts, booking.deadline_ms / 1000.0
         )
     link = await _link_to(instance, facts.witness_id, facts.witness_incarnation)
@@ -120,8 +105,17 @@
     return digest_request(booking.service, booking.method, booking.target, booking.body)
 
 
-async def _take_at_home(instance, booking, facts) -> Result:
-    """Runs a booking at its home, waits for it, or repeats its answer."""
+async def take_at_home(instance, booking, facts) -> Result:
+    """Runs a booking at its home, waits for it, or repeats its answer.
+
+    Args:
+        instance: Instance.
+        booking: Booking message.
+        facts: KeyFacts of its key.
+
+    Returns:
+        Ok with a BookingAnswer, or Error with a Fault.
+    """
     key, digest = booking.key, _digest_of(booking)
     begun = begin_booking(instance.bookings, key, digest, facts, instance.clock.wall())
     if begun.is_error():
@@ -316,83 +310,19 @@
     )
 
 
-async def _answer_later(link, call_id, coro):
-    """Awaits a Result and sends it as the answer to a call."""
-    result = await coro
-    if result.is_ok():
-        send_message(link, result.ok, reply_to=call_id)
-        return
-    fault = result.error
-    refusal = peer.Refusal(
-        code=fault.code,
-        detail=fault.detail[:500],
-        retry_after_ms=fault.retry_after_ms,
-    )
-    send_message(link, refusal, reply_to=call_id)
-
-
-def handle_booking(instance, link, message, call_id):
-    """Runs a booking that another instance sent on to this home."""
-    parsed = parse_key(instance.ticket_keys, message.key)
-    me = (instance.cfg.instance_id, instance.incarnation)
-    if parsed.is_error():
-        fault = parsed.error
-        return peer.Refusal(code=fault.code, detail=fault.detail)
-    facts = parsed.ok
-    if (facts.home_id, facts.home_incarnation) != me:
-        return peer.Refusal(code=ResultCode.PEER_UNREACHABLE, detail="not the home")
-    return _answer_later(link, call_id, _take_at_home(instance, message, facts))
-
-
-def handle_claim(instance, link, message, call_id):
-    """Records a home's claim at this witness."""
-    parsed = parse_key(instance.ticket_keys, message.key)
-    if parsed.is_error():
-        return peer.ClaimAnswer(granted=False, code=parsed.error.code)
-    facts = parsed.ok
-    mine = (facts.witness_id, facts.witness_incarnation) == (
-        instance.cfg.instance_id,
-        instance.incarnation,
-    )
-    from_home = (facts.home_id, facts.home_incarnation) == (
-        link.remote_id,
-        link.remote_incarnation,
-    )
-    if not (mine and from_home):
-        return peer.ClaimAnswer(granted=False, code=ResultCode.KEY_INVALID)
-    now = instance.clock.wall()
-    recorded = record_claim(instance.bookings, message.key, message.digest, facts, now)
-    if recorded.is_error():
-        return peer.ClaimAnswer(granted=False, code=recorded.error.code)
-    return peer.ClaimAnswer(granted=True)
-
-
-def handle_completion(instance, link, message, call_id):
-    """Records at this witness how a booking ended."""
-    complete_claim(instance.bookings, message.key, message.code, message.answer)
-    future = instance.booking_waits.pop(message.key, None)
-    if future is not None and not future.done():
-        future.set_result(None)
-    return peer.Acknowledgement()
-
-
-def handle_resolve(instance, link, message, call_id):
-    """Answers for a key whose home another instance cannot reach."""
-    parsed = parse_key(instance.ticket_keys, message.key)
-    if parsed.is_error():
-        fault = parsed.error
-        return peer.Refusal(code=fault.code, detail=fault.detail)
-    facts = parsed.ok
-    me = (instance.cfg.instance_id, instance.incarnation)
-    if (facts.witness_id, facts.witness_incarnation) != me:
-        return peer.Refusal(code=ResultCode.PEER_UNREACHABLE, detail="not the witness")
-    timeout_s = message.deadline_ms / 1000.0
-    resolving = _resolve_here(instance, message.key, message.digest, facts, timeout_s)
-    return _answer_later(link, call_id, resolving)
+async def resolve_here(instance, key, digest, facts, timeout_s) -> Result:
+    """Decides the fate of a key at its witness, waiting for the home's word.
 
+    Args:
+        instance: Instance.
+        key: Idempotency key.
+        digest: Digest of the booking.
+        facts: KeyFacts of the key.
+        timeout_s: Longest wait (s).
 
-async def _resolve_here(instance, key, digest, facts, timeout_s) -> Result:
-    """Decides the fate of a key at its witness, waiting for the home's word."""
+    Returns:
+        Ok with what the witness knows, or Error with a Fault.
+    """
     table = instance.bookings
     resolved = resolve_key(table, key, digest, facts, instance.clock.wall())
     if resolved.is_ok() and resolved.ok == "wait":
@@ -410,13 +340,3 @@
             detail = "the booking is in progress"
             return Error(Fault(ResultCode.OUTCOME_UNKNOWN, detail, 1000))
     return resolved.map(_as_replay)
-
-
-async def run_record_expiry(instance):
-    """Drops booking records past their lifetime, for ever."""
-    while True:
-        await asyncio.sleep(EXPIRY_INTERVAL_S)
-        dropped = expire_records(instance.bookings, instance.clock.wall())
-        count(instance.metrics, "bookings.expired", dropped)
-        for key in set(instance.booking_waits) - set(instance.bookings.records):
-            del instance.booking_waits[key]
--- a/packages/daemon/src/flamingolift_daemon/dispatching.py
+++ b/packages/daemon/src/flamingolift_daemon/dispatching.py
@@ -21,9 +21,10 @@
 from flamingolift_decisions.topology import choose_dispatcher
 from flamingolift_model import Fault, ResultCode, peer
 
+from flamingolift_daemon.heartbeats import broadcast
 from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import broadcast, send_message
+from flamingolift_daemon.peerlinks import send_message
 
 __all__ = [
     "ask_pool",
--- a/packages/daemon/src/flamingolift_daemon/distribution.py
+++ b/packages/daemon/src/flamingolift_daemon/distribution.py
@@ -17,10 +17,11 @@
 from flamingolift_wire.codec import decode_document
 from flamingolift_wire.policytext import read_policy
 
+from flamingolift_daemon.heartbeats import announce, announce_soon
 from flamingolift_daemon.instance import pulse, refresh_view
 from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import announce, announce_soon, send_message
+from flamingolift_daemon.peerlinks import send_message
 
 __all__ = [
     "KINDS",
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -1,4 +1,4 @@
-"""Streams between instances: one task for each stream and each kept peer."""
+"""Streams between instances: one task for each stream."""
 
 import asyncio
 import contextlib
@@ -7,12 +7,7 @@
 
 from expression import Error, Ok, Result
 from flamingolift_decisions.documents import versions
-from flamingolift_decisions.membership import (
-    changes_since,
-    note_contact,
-    note_silence,
-)
-from flamingolift_decisions.topology import desired_peers
+from flamingolift_decisions.membership import changes_since, note_contact
 from flamingolift_model import Fault, ResultCode
 from flamingolift_model.peer import Heartbeat, Hello, Refusal
 from flamingolift_wire.codec import decode_message, encode_message
@@ -32,14 +27,10 @@
 __all__ = [
     "PeerLink",
     "accept_peer",
-    "announce",
-    "announce_soon",
-    "broadcast",
     "call_peer",
     "close_link",
     "get_link",
-    "keep_peers",
-    "run_heartbeats",
+    "send_heartbeat",
     "send_message",
 ]
 
@@ -47,8 +38,6 @@
 """Unsent bytes on a stream after which the peer counts as stuck."""
 MEMBERS_PER_HEARTBEAT = 64
 HANDSHAKE_TIMEOUT_S = 1.0
-ANNOUNCE_DELAY_S = 0.1
-"""Time for which changes of membership are gathered before they are told (s)."""
 AVOID_S = 2.0
 """Time for which a peer that did not answer is passed over (s)."""
 
@@ -266,7 +255,7 @@
         instance.view, link.remote_id, link.remote_incarnation, link.heard_at
     ):
         refresh_view(instance)
-    _send_heartbeat(instance, link)
+    send_heartbeat(instance, link)
     return link
 
 
@@ -397,93 +386,14 @@
     return dialed
 
 
-def _send_heartbeat(instance, link):
+def send_heartbeat(instance, link):
+    """Sends a peer what changed in the membership since the last heartbeat.
+
+    Args:
+        instance: Instance.
+        link: PeerLink.
+    """
     states, cursor = changes_since(instance.view, link.cursor, MEMBERS_PER_HEARTBEAT)
     beat = Heartbeat(versions=versions(instance.shelf), members=states)
     if send_message(link, beat):
         link.cursor = cursor
-
-
-def broadcast(instance, message, except_link=None):
-    """Sends a message on every open stream but one."""
-    for link in list(instance.streams):
-        if link is not except_link:
-            send_message(link, message)
-
-
-def announce(instance):
-    """Sends a heartbeat at once on every stream, after a change."""
-    for link in list(instance.streams):
-        _send_heartbeat(instance, link)
-
-
-def suspect_peer(instance, name, incarnation):
-    """Suspects a peer that does not answer, and tells the others."""
-    if note_silence(instance.view, name, incarnation, instance.clock.now()):
-        logger.info("peer_suspected", extra={"peer": name})
-        announce_soon(instance)
-
-
-def announce_soon(instance):
-    """Sends a heartbeat on every stream after a moment, once for many changes."""
-    if instance.announcing is None or instance.announcing.done():
-        instance.announcing = start_task(instance, _announce_later(instance))
-
-
-async def _announce_later(instance):
-    await asyncio.sleep(ANNOUNCE_DELAY_S)
-    announce(instance)
-
-
-async def run_heartbeats(instance):
-    """Sends heartbeats and closes the streams that went silent, for ever."""
-    cfg = instance.cfg
-    while True:
-        await asyncio.sleep(cfg.heartbeat_interval_s)
-        now = instance.clock.now()
-        for link in list(instance.streams):
-            if now - link.heard_at > cfg.heartbeat_timeout_s:
-                count(instance.metrics, "peer.silent_streams")
-                close_link(link)
-                suspect_peer(instance, link.remote_id, link.remote_incarnation)
-                continue
-            _send_heartbeat(instance, link)
-            count(instance.metrics, "peer.sent_bytes", link.sent_bytes)
-            link.sent_bytes = 0
-
-
-async def keep_peers(instance):
-    """Keeps one task for each peer that the topology asks for, for ever."""
-    kept = {}
-    cfg = instance.cfg
-    while True:
-        changed = instance.changed
-        me = instance.view.entries.get(cfg.instance_id)
-        wanted = set()
-        if me is not None:
-            everyone = {**instance.serving, cfg.instance_id: me}
-            wanted = desired_peers(everyone, me, cfg.relays_per_domain, cfg.ring_peers)
-        for name in set(kept) - wanted:
-            kept.pop(name).cancel()
-        for name in wanted - set(kept):
-            kept[name] = start_task(instance, _keep_peer(instance, name))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(cfg.heartbeat_interval_s * 5):
-                await changed.wait()
-
-
-async def _keep_peer(instance, name):
-    """Keeps a stream to one peer open and reports it when that fails."""
-    interval_s = instance.cfg.heartbeat_interval_s
-    while True:
-        entry = instance.view.entries.get(name)
-        if entry is None:
-            return
-        known = instance.view.members.get(name)
-        incarnation = known.incarnation if known else 0
-        opened = await get_link(instance, entry)
-        if opened.is_ok():
-            await asyncio.wait([opened.ok.closed])
-            continue
-        suspect_peer(instance, name, incarnation)
-        await asyncio.sleep(interval_s)
--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -12,9 +12,10 @@
 from flamingolift_wire.storeclient import StoreClient
 
 from flamingolift_daemon import (
-    bookinghome,
+    bookingcalls,
     dispatching,
     distribution,
+    heartbeats,
     peerlinks,
     relay,
 )
@@ -72,10 +73,10 @@
         peer.Release: dispatching.handle_release,
         peer.Holdings: dispatching.handle_holdings,
         peer.Quarantine: dispatching.handle_quarantine,
-        peer.Booking: bookinghome.handle_booking,
-        peer.Claim: bookinghome.handle_claim,
-        peer.Completion: bookinghome.handle_completion,
-        peer.Resolve: bookinghome.handle_resolve,
+        peer.Booking: bookingcalls.handle_booking,
+        peer.Claim: bookingcalls.handle_claim,
+        peer.Completion: bookingcalls.handle_completion,
+        peer.Resolve: bookingcalls.handle_resolve,
         peer.LoadSample: relay.handle_load_sample,
     }
     # Until the live list names it, an instance knows at least itself.
@@ -133,12 +134,12 @@
         serve_peers,
         _greet_seeds,
         _flush_for_ever,
-        bookinghome.run_record_expiry,
+        bookingcalls.run_record_expiry,
         dispatching.run_pools,
         _watch_membership,
         distribution.run_shifts,
-        peerlinks.keep_peers,
-        peerlinks.run_heartbeats,
+        heartbeats.keep_peers,
+        heartbeats.run_heartbeats,
         relay.run_live_watch,
         relay.run_reports,
         relay.run_store_watch,
@@ -228,7 +229,7 @@
     logger.info("drain_started", extra={"in_flight": instance.in_flight})
     set_self_leaving(instance.view, instance.clock.now())
     refresh_view(instance)
-    peerlinks.announce(instance)
+    heartbeats.announce(instance)
     ends_at = instance.clock.now() + instance.cfg.drain_grace_s
     ttl_s = _longest_ttl_s(instance)
     refuse_at = min(ends_at, instance.clock.now() + ttl_s)
--- a/standins/src/flamingolift_standins/fleet.py
+++ b/standins/src/flamingolift_standins/fleet.py
@@ -12,12 +12,22 @@
 
 import aiohttp
 
+from flamingolift_standins.fleetcontrol import backend_reports, publish_live
+
 __all__ = [
+    "OPERATOR_KEY",
     "Fleet",
     "FleetInstance",
     "Network",
     "free_ports",
+    "instance_environment",
+    "is_ready",
+    "operator_get",
     "start_fleet",
+    "start_instance",
+    "start_instances",
+    "stop_fleet",
+    "wait_ready",
     "wait_until",
 ]
 
@@ -241,60 +251,6 @@
     inst.process = await _spawn(fleet, inst.name, "flamingolift_daemon.main", env=env)
 
 
-async def publish_live(fleet, leaving=(), without=()):
-    """Sets the platform's live list."""
-    body = {
-        "instances": [
-            inst.as_entry("leaving" if inst.name in leaving else "live")
-            for inst in fleet.instances.values()
-            if inst.name not in without
-        ],
-        "backend_servers": [
-            {name: entry[name] for name in entry if name not in ("time_ms", "delays")}
-            for entry in fleet.backends
-        ],
-    }
-    async with fleet.session.put(f"{fleet.store_url}/admin/live", json=body) as resp:
-        resp.raise_for_status()
-
-
-async def set_store_faults(fleet, **faults):
-    """Sets the faults of the store stand-in."""
-    async with fleet.session.put(
-        f"{fleet.store_url}/admin/faults", json=faults
-    ) as resp:
-        resp.raise_for_status()
-
-
-async def set_backend(fleet, server_id, **values):
-    """Sets attributes of one backend server."""
-    port = fleet.admin_ports[server_id]
-    url = f"http://127.0.0.1:{port}/server/{server_id}"
-    async with fleet.session.put(url, json=values) as resp:
-        resp.raise_for_status()
-
-
-async def backend_reports(fleet):
-    """Returns the merged report of all backend stand-ins."""
-    servers, bookings = {}, {}
-    for port in sorted(set(fleet.admin_ports.values())):
-        async with fleet.session.get(f"http://127.0.0.1:{port}/report") as resp:
-            report = await resp.json()
-        for row in report["servers"].values():
-            row["age_s"] = report["now"] - row["last_start"]
-        servers.update(report["servers"])
-        for name, runs in report["bookings"].items():
-            bookings[name] = bookings.get(name, 0) + runs
-    return {"servers": servers, "bookings": bookings}
-
-
-async def reset_backends(fleet):
-    """Forgets the starts and peaks that the backend stand-ins counted."""
-    for port in sorted(set(fleet.admin_ports.values())):
-        async with fleet.session.put(f"http://127.0.0.1:{port}/reset") as resp:
-            resp.raise_for_status()
-
-
 async def operator_get(fleet, inst, path):
     """Returns an operator's page of an instance."""
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
