Give the emulator a tool that plays its scenarios

Cause: the figures behind the decisions on overload came from throw-away scripts. Change: python -m bench.overload plays named scenarios with seeds and prints a table. Ruled out: nothing.

--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,105 @@
+"""Plays overloads, slow servers and hot objects in the emulator and prints a table.
+
+Run as ``python -m bench.overload [--seeds N] [SCENARIO ...]``. Decisions are tried
+here before they are measured with real processes.
+"""
+
+import concurrent.futures
+import os
+
+import click
+from flamingolift_standins.fleetmodel import Load, run_model
+
+__all__ = ["SCENARIOS", "Summary", "main", "play_scenario"]
+
+LATE_WORTH = 0.2
+"""Worth of a late answer relative to one in time (ratio), as on the users' sites."""
+SETTLED_S = 30
+"""Second from which the end of a run is counted by itself."""
+
+SCENARIOS = {
+    "calm": Load(rate=80.0),
+    "usual": Load(rate=110.0),
+    "hot": Load(rate=150.0),
+    "burst": Load(bursts=[(8.0, 12.0, 1.6)]),
+    "few-servers": Load(servers=11, bursts=[(10.0, 14.0, 1.5)]),
+    "twice": Load(servers=11, bursts=[(10.0, 16.0, 2.0)]),
+    "restart": Load(restarts=[20.0]),
+    "slow-twelve": Load(rate=80.0, slow=[(10.0, 18.0, 0.4, 12.0)]),
+    "slow-four": Load(slow=[(10.0, 16.0, 0.16, 4.3)]),
+    "hot-object": Load(rate=90.0, hot_share=0.35),
+    "large": Load(
+        rate=400.0, servers=48, objects=72, instances=60, bursts=[(15.0, 20.0, 1.5)]
+    ),
+}
+
+
+class Summary:
+    """What a scenario's runs came to.
+
+    Attributes:
+        name: Name of the scenario.
+        worth: Mean worth of a request (ratio).
+        settled: The same for requests from `SETTLED_S` on (ratio).
+        lost: Requests that were refused or failed in the end (ratio).
+        warm: Sends that met a server which held the object (ratio).
+    """
+
+    __slots__ = ("lost", "name", "settled", "warm", "worth")
+
+    def __init__(self, name, worth, settled, lost, warm):
+        self.name = name
+        self.worth = worth
+        self.settled = settled
+        self.lost = lost
+        self.warm = warm
+
+
+def _worth(tallies):
+    asked = sum(t.in_time + t.late + t.lost for t in tallies)
+    return sum(t.in_time + LATE_WORTH * t.late for t in tallies) / max(1, asked)
+
+
+def play_scenario(name, seeds):
+    """Plays a scenario with some seeds.
+
+    Args:
+        name: Name in `SCENARIOS`.
+        seeds: Iterable of seeds.
+
+    Returns:
+        Summary.
+    """
+    timed = [
+        pair for seed in seeds for pair in run_model(SCENARIOS[name], seed).items()
+    ]
+    tallies = [tally for _second, tally in timed]
+    asked = sum(t.in_time + t.late + t.lost for t in tallies)
+    return Summary(
+        name,
+        _worth(tallies),
+        _worth([tally for second, tally in timed if second >= SETTLED_S]),
+        sum(t.lost for t in tallies) / max(1, asked),
+        sum(t.warm for t in tallies) / max(1, sum(t.sends for t in tallies)),
+    )
+
+
+@click.command()
+@click.argument("names", nargs=-1, type=click.Choice(sorted(SCENARIOS)))
+@click.option("--seeds", default=3, show_default=True, help="Runs of each scenario.")
+def main(names, seeds):
+    """Plays scenarios, all by default, and prints their worth."""
+    wanted = names or tuple(SCENARIOS)
+    workers = max(1, (os.cpu_count() or 2) // 2)
+    click.echo(f"{'scenario':12} {'worth':>6} {'settled':>8} {'lost':>6} {'warm':>6}")
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        numbers = [range(1, seeds + 1)] * len(wanted)
+        for found in pool.map(play_scenario, wanted, numbers):
+            click.echo(
+                f"{found.name:12} {found.worth:6.3f} {found.settled:8.3f}"
+                f" {found.lost:6.3f} {found.warm:6.2f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
