Keep watches short for a while after a failure

Their logs: all relays failed at 2.20 s, when the store cut the watches; they watched the store themselves 2 ms later, before it dropped its history, and that watch heard nothing until the next change at 7.82 s. Relays were spared by their pause. Change: for 3 s after a failure of the store or of all relays a watch waits at most 0.8 s, so that a deaf one is followed by one that is told of the lost history. The stand-in store can leave watches deaf; the test fails before and passes after. Ruled out: a longer pause before the first watch (it only moves the moment).

--- a/integration/test_platform_view.py
+++ b/integration/test_platform_view.py
@@ -122,6 +122,20 @@
     await wait_until(lambda: in_force(front, 30), 2.5)
 
 
+async def test_watch_that_begins_deaf_is_not_trusted(platform, front):
+    platform.store.mode = "reset"
+    await wait_until(lambda: lost_now(front))
+    put_policy(platform.store, 31)
+    platform.store.deaf = True
+    platform.store.mode = "up"
+    await wait_until(lambda: not lost_now(front))
+    # A watch is waiting by now that has missed the change and will not hear of it.
+    await asyncio.sleep(0.3)
+    forget_history(platform.store)
+    platform.store.deaf = False
+    await wait_until(lambda: in_force(front, 31), 2.5)
+
+
 async def test_entries_that_lapse_together_in_an_outage_are_held(platform, front):
     platform.store.mode = "busy"
     await wait_until(lambda: lost_now(front))
--- a/packages/front/src/flamingolift_front/following.py
+++ b/packages/front/src/flamingolift_front/following.py
@@ -16,6 +16,8 @@
 
 __all__ = ["follow_fleet", "follow_peers"]
 
+WATCH_WAIT_S = 25.0
+"""Longest time that one watch waits (s): below the store's limit of 30 s."""
 WATCH_PAUSE_S = 0.8
 """Pause after changes (s), so that one call brings several of them; a third of
 the shortest time in which a change must be in force."""
@@ -36,6 +38,12 @@
 DIRECT_S = 6.0
 """Time for which an instance watches the store itself after it missed all relays
 (s): until dead ones have left the list of instances."""
+CAUTIOUS_S = 3.0
+"""Time after a failure in which watches are kept short (s): one that begins while
+the store loses its history may hear of no change."""
+CAUTIOUS_WAIT_S = 0.8
+"""Longest wait of such a watch (s), a third of the shortest time in which a change
+must be in force."""
 PULL_AFTER_S = 0.6
 """Time without the store after which peers are asked (s): a few failed calls."""
 PULL_INTERVAL_S = 0.8
@@ -50,16 +58,21 @@
         front: Front.
     """
     pause = RETRY_MIN_S
-    direct_until = 0.0
+    direct_until = cautious_until = 0.0
     while True:
-        relays = _relays(front) if time.monotonic() >= direct_until else []
+        now = time.monotonic()
+        relays = _relays(front) if now >= direct_until else []
         if relays and front.view.lost_at is None and front.view.revision is not None:
             if not await _follow_relays(front, relays):
-                direct_until = time.monotonic() + DIRECT_S
+                failed_at = time.monotonic()
+                direct_until = failed_at + DIRECT_S
+                cautious_until = failed_at + CAUTIOUS_S
             continue
+        wait_s = WATCH_WAIT_S if now >= cautious_until else CAUTIOUS_WAIT_S
         try:
-            changed = await viewsync.follow_store(front)
+            changed = await viewsync.follow_store(front, wait_s)
         except FaultError:
+            cautious_until = time.monotonic() + CAUTIOUS_S
             await asyncio.sleep(pause * front.rng.uniform(0.7, 1.3))
             longest = FOLLOWER_RETRY_MAX_S if _relays(front) else RETRY_MAX_S
             pause = min(longest, pause * 2.0)
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -19,8 +19,6 @@
 
 __all__ = ["apply_changes", "apply_snapshot", "call_store", "follow_store"]
 
-WATCH_WAIT_S = 25.0
-"""Longest time that one watch waits (s): below the store's limit of 30 s."""
 MAX_RECENT = 2000
 """Changes kept for peers: those of about a minute in which all backend servers of
 a large fleet restart."""
@@ -68,11 +66,12 @@
     return result
 
 
-async def follow_store(front):
+async def follow_store(front, longest_s):
     """Takes one batch of changes from the store, or the whole view at first.
 
     Args:
         front: Front.
+        longest_s: Longest time to wait for a change (s).
 
     Returns:
         Whether there were changes.
@@ -87,7 +86,7 @@
         apply_snapshot(front, items, revision)
         return False
     # A store that does not answer must not be waited for longer than for a call.
-    wait_s = WATCH_WAIT_S if view.lost_at is None else 0.0
+    wait_s = longest_s if view.lost_at is None else 0.0
     watching = front.store.watch(view.revision, wait_s)
     found = await call_store(front, "watch", watching)
     if found is None:
--- a/standins/src/flamingolift_standins/platformstore.py
+++ b/standins/src/flamingolift_standins/platformstore.py
@@ -40,6 +40,7 @@
         mode: "up", "busy" (503), "reset" or "silent".
         door_modes: Map of a further port to its own mode.
         stalls: Number of times that the waiting watches were left hanging.
+        deaf: Whether watches begin without hearing of any change so far.
         calls: Map of call kind to its count.
         changed: Event that is replaced at each change.
         runner: aiohttp runner.
@@ -50,6 +51,7 @@
     __slots__ = (
         "calls",
         "changed",
+        "deaf",
         "door_modes",
         "first_revision",
         "history",
@@ -74,6 +76,7 @@
         self.mode = "up"
         self.door_modes = {}
         self.stalls = 0
+        self.deaf = False
         self.calls = {}
         self.changed = asyncio.Event()
         self.runner = None
@@ -205,15 +208,20 @@
     after = int(request.query["after"])
     deadline = time.monotonic() + int(request.query["wait_ms"]) / 1000.0
     stalls = store.stalls
+    heard_from = store.revision if store.deaf else after
     while True:
         if stalls != store.stalls:
             await asyncio.sleep(3600.0)
-        if after < store.first_revision:
+        if after < store.first_revision and not _hears_nothing(
+            store, heard_from, after
+        ):
             return web.json_response({"error": "gone"}, status=410)
-        events = [e for e in store.history if e["revision"] > after]
+        events = [e for e in store.history if e["revision"] > heard_from]
         left = deadline - time.monotonic()
         if events or left <= 0.0:
-            body = {"events": events, "store_revision": store.revision}
+            missed = not events and _hears_nothing(store, heard_from, after)
+            told = after if missed else store.revision
+            body = {"events": events, "store_revision": told}
             return web.json_response(body)
         try:
             await asyncio.wait_for(store.changed.wait(), left)
@@ -221,6 +229,11 @@
             continue
 
 
+def _hears_nothing(store, heard_from, after):
+    """Returns whether a watch that began deaf has still heard of no change."""
+    return heard_from != after and store.revision <= heard_from
+
+
 async def _transact(store, request):
     body = await request.json()
     for write in body["set_keys"]:
