--- a/tools/bite.py
+++ b/tools/bite.py
@@ -194,6 +194,14 @@
         [(f"{FRONT}/run.py", "grace_s = front.cfg.grace_s", "grace_s = 0.0")],
         f"{PATH}::test_planned_stop_ends_what_runs_and_exits_in_time",
     ),
+    "F14 trust each watch": (
+        [(f"{FRONT}/following.py", "CAUTIOUS_WAIT_S = 0.8", "CAUTIOUS_WAIT_S = 25.0")],
+        f"{VIEW}::test_watch_that_begins_deaf_is_not_trusted",
+    ),
+    "F15 accept whatever comes": (
+        [(f"{DECISIONS}/admission.py", "return share > 0.0 and", "return False and")],
+        f"{DECISIONS}/tests/test_admission.py",
+    ),
 }
 
 
