Log how updates between instances are encoded, sent, received and decoded

New events update_encoded, response_sent, update_received and loop_stalled, a source in policy_in_force, a counter of update bytes and a histogram of the loop's delay. A response on a control port is now flushed before the next request of that connection is read. No decision changes.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -10,7 +10,9 @@
     "close",
     "connect",
     "flush",
+    "peer_host",
     "read",
+    "wait_readable",
     "write",
 ]
 
@@ -161,12 +163,7 @@
         PeerTimeoutError: The peer stopped acknowledging bytes or probes.
         ConnectionError: The connection broke off.
     """
-    if not stream.buffer and not stream.ended:
-        stream.waiter = asyncio.get_running_loop().create_future()
-        try:
-            await stream.waiter
-        finally:
-            stream.waiter = None
+    await wait_readable(stream)
     if stream.buffer:
         data = bytes(stream.buffer)
         stream.buffer.clear()
@@ -178,6 +175,23 @@
     return b""
 
 
+async def wait_readable(stream):
+    """Waits until bytes have arrived or the connection has ended."""
+    if stream.buffer or stream.ended:
+        return
+    stream.waiter = asyncio.get_running_loop().create_future()
+    try:
+        await stream.waiter
+    finally:
+        stream.waiter = None
+
+
+def peer_host(stream):
+    """Returns the IP address of the peer, empty when the connection is lost."""
+    address = stream.transport.get_extra_info("peername")
+    return address[0] if address else ""
+
+
 def _as_connection_error(exc):
     if isinstance(exc, TimeoutError):
         return PeerTimeoutError(str(exc))
--- a/packages/front/src/flamingolift_front/eventlog.py
+++ b/packages/front/src/flamingolift_front/eventlog.py
@@ -8,7 +8,10 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["EventLog", "flush_log", "log_event"]
+__all__ = ["LARGE_MESSAGE_BYTES", "EventLog", "flush_log", "log_event"]
+
+LARGE_MESSAGE_BYTES = 1 << 14
+"""Size from which a message between instances gets a log line (bytes)."""
 
 LINES_PER_S = 60
 """Lines of one event that are written within a second (1/s); further ones are dropped
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -8,6 +8,7 @@
 __all__ = ["FrontMetrics", "render_metrics"]
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
+LOOP_DELAY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -23,6 +24,8 @@
         first_sends: Counter of first sends by service and whether the server is the
             object's preferred one.
         store_calls: Counter of calls on the store by kind and result.
+        peer_bytes: Counter of the bytes of view updates by direction: sent or received.
+        loop_delay: Histogram of the delay of a timer of the event loop (s).
         log_dropped: Gauge of the dropped log lines that are not yet reported.
         gauges: Map of name to Gauge; the values are set when metrics are rendered.
     """
@@ -32,6 +35,8 @@
         "gauges",
         "latency",
         "log_dropped",
+        "loop_delay",
+        "peer_bytes",
         "registry",
         "requests",
         "sends",
@@ -71,6 +76,18 @@
             ("kind", "result"),
             registry=registry,
         )
+        self.peer_bytes = Counter(
+            "flamingolift_peer_update_bytes",
+            "Bytes of view updates exchanged with other instances",
+            ("direction",),
+            registry=registry,
+        )
+        self.loop_delay = Histogram(
+            "flamingolift_loop_delay_seconds",
+            "Delay of a timer of the event loop (s)",
+            buckets=LOOP_DELAY_BUCKETS_S,
+            registry=registry,
+        )
         self.log_dropped = Gauge(
             "flamingolift_log_lines_dropped",
             "Log lines left out and not yet reported",
--- a/packages/front/src/flamingolift_front/lookups.py
+++ b/packages/front/src/flamingolift_front/lookups.py
@@ -1,11 +1,13 @@
 """Instance look-ups for callers, readiness, and the server of the control ports."""
 
 import asyncio
+import time
 
 import h11
 from flamingolift_decisions.hashing import rendezvous_order
 
 from flamingolift_front import bytestream
+from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
 from flamingolift_front.frontmetrics import render_metrics
 from flamingolift_front.responses import text_response
 from flamingolift_front.state import live_instances
@@ -88,7 +90,18 @@
     headers = [*response.headers, (b"Content-Length", str(len(response.body)).encode())]
     data = parser.send(h11.Response(status_code=response.status, headers=headers))
     data += parser.send(h11.Data(data=response.body))
+    started = time.monotonic()
     bytestream.write(stream, data + parser.send(h11.EndOfMessage()))
+    await bytestream.flush(stream)
+    if len(response.body) >= LARGE_MESSAGE_BYTES:
+        log_event(
+            front.log,
+            "response_sent",
+            peer=bytestream.peer_host(stream),
+            path=target.partition("?")[0],
+            bytes=len(response.body),
+            send_ms=round((time.monotonic() - started) * 1000.0, 1),
+        )
     return parser.our_state is h11.DONE
 
 
--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 import urllib.parse
 
 import msgpack
@@ -14,7 +15,7 @@
 from flamingolift_wire.codec import MAX_DOCUMENT_BYTES
 
 from flamingolift_front import bytestream, httpcall
-from flamingolift_front.eventlog import log_event
+from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
 from flamingolift_front.responses import binary_response, problem_response
 from flamingolift_front.state import ViewChange
 from flamingolift_front.viewsync import apply_changes, apply_snapshot
@@ -26,6 +27,7 @@
     "apply_update",
     "close_link",
     "fetch_update",
+    "link_name",
     "serve_view",
 ]
 
@@ -102,7 +104,27 @@
         return problem_response(
             Fault(ResultCode.STORE_UNAVAILABLE, "no updates to relay")
         )
-    return binary_response(200, msgpack.packb(_encode_update(view, after)))
+    return binary_response(200, _pack_update(front, after))
+
+
+def _pack_update(front, after):
+    started = time.monotonic()
+    body = msgpack.packb(_encode_update(front.view, after))
+    front.metrics.peer_bytes.labels("sent").inc(len(body))
+    if len(body) >= LARGE_MESSAGE_BYTES:
+        log_event(
+            front.log,
+            "update_encoded",
+            revision=front.view.revision,
+            after=after,
+            bytes=len(body),
+            encode_ms=_elapsed_ms(started),
+        )
+    return body
+
+
+def _elapsed_ms(started):
+    return round((time.monotonic() - started) * 1000.0, 1)
 
 
 def _int_parameter(query, name, default):
@@ -176,6 +198,11 @@
         raise
 
 
+def link_name(link):
+    """Returns the address of a peer as host:port."""
+    return f"{link.address[0]}:{link.address[1]}"
+
+
 def close_link(link):
     """Closes the connection to a peer."""
     if link.stream is not None:
@@ -189,6 +216,8 @@
     target = f"/view?after={after}&wait_ms={int(wait_s * 1000)}".encode()
     headers = [(b"Host", link.address[0].encode())]
     call = httpcall.open_call(link.stream, b"GET", target, headers, b"")
+    await bytestream.wait_readable(link.stream)
+    began = time.monotonic()
     response = await httpcall.read_response(
         call, lambda _status, _headers: True, MAX_UPDATE_BYTES
     )
@@ -196,8 +225,22 @@
         raise httpcall.InvalidResponseError(f"status {response.status}")
     if not httpcall.is_reusable(call):
         close_link(link)
+    received = time.monotonic()
     revision, is_snapshot, rows = msgpack.unpackb(response.body)
-    return ViewUpdate(revision, is_snapshot, [_decode_change(row) for row in rows])
+    update = ViewUpdate(revision, is_snapshot, [_decode_change(row) for row in rows])
+    front.metrics.peer_bytes.labels("received").inc(len(response.body))
+    if len(response.body) >= LARGE_MESSAGE_BYTES:
+        log_event(
+            front.log,
+            "update_received",
+            peer=link_name(link),
+            revision=revision,
+            before=known,
+            bytes=len(response.body),
+            transfer_ms=round((received - began) * 1000.0, 1),
+            decode_ms=_elapsed_ms(received),
+        )
+    return update
 
 
 def _decode_change(row):
@@ -220,7 +263,7 @@
     Args:
         front: Front.
         update: ViewUpdate.
-        peer: Address of the peer, for the log.
+        peer: Address of the peer as host:port, for the log.
 
     Returns:
         Whether the view changed.
@@ -229,17 +272,17 @@
     if own_revision is not None and update.revision <= own_revision:
         return False
     if update.is_snapshot:
-        apply_snapshot(front, update.changes, update.revision)
+        apply_snapshot(front, update.changes, update.revision, peer)
     elif own_revision is None:
         return False
     else:
         fresh = [change for change in update.changes if change.revision > own_revision]
-        apply_changes(front, fresh, update.revision)
+        apply_changes(front, fresh, update.revision, peer)
     if update.is_snapshot or view.store_failed_at is not None:
         log_event(
             front.log,
             "view_pulled",
-            peer=f"{peer[0]}:{peer[1]}",
+            peer=peer,
             revision=update.revision,
             before=own_revision,
         )
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from flamingolift_front import callers, lookups, serverpool
+from flamingolift_front import callers, lookups, loopwatch, serverpool
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.eventlog import flush_log, log_event
 from flamingolift_front.internalapi import handle_internal
@@ -47,6 +47,7 @@
         sync_view(front),
         pull_from_peers(front),
         _close_idle_connections(front),
+        loopwatch.watch_loop(front),
     ):
         _start_task(front, coroutine)
     registration_task = _start_task(front, maintain_registration(front))
--- a/packages/front/src/flamingolift_front/viewsource.py
+++ b/packages/front/src/flamingolift_front/viewsource.py
@@ -149,10 +149,10 @@
     try:
         update = await peersync.fetch_update(front, link, wait_s)
     except peersync.PeerError as exc:
-        peer = f"{link.address[0]}:{link.address[1]}"
+        peer = peersync.link_name(link)
         log_event(front.log, "peer_failed", peer=peer, cause=str(exc))
         return False
-    peersync.apply_update(front, update, link.address)
+    peersync.apply_update(front, update, peersync.link_name(link))
     return True
 
 
@@ -183,11 +183,11 @@
 
 async def _pull_from(front, address):
     link = peersync.PeerLink(address)
+    peer = peersync.link_name(link)
     try:
         update = await peersync.fetch_update(front, link, 0.0)
-        peersync.apply_update(front, update, address)
+        peersync.apply_update(front, update, peer)
     except peersync.PeerError as exc:
-        peer = f"{address[0]}:{address[1]}"
         log_event(front.log, "peer_failed", peer=peer, cause=str(exc))
     finally:
         peersync.close_link(link)
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -102,13 +102,14 @@
     return bool(changes)
 
 
-def apply_snapshot(front, items, revision):
+def apply_snapshot(front, items, revision, source="store"):
     """Replaces the view by a snapshot of the store.
 
     Args:
         front: Front.
         items: List of ViewChange, one for each key.
         revision: Revision of the store that the items belong to.
+        source: Address of the peer that sent the items, or "store".
     """
     view = front.view
     present = {item.key for item in items}
@@ -117,7 +118,7 @@
     ]
     view.recent_changes.clear()
     view.recent_after = revision
-    apply_changes(front, items + removals, revision)
+    apply_changes(front, items + removals, revision, source)
     view.recent_changes.clear()
     log_event(
         front.log,
@@ -129,13 +130,14 @@
     )
 
 
-def apply_changes(front, changes, revision):
+def apply_changes(front, changes, revision, source="store"):
     """Applies changes to the view in the order of the store.
 
     Args:
         front: Front.
         changes: List of ViewChange.
         revision: Revision of the store after the last change.
+        source: Address of the peer that sent the changes, or "store".
     """
     view = front.view
     mass_expiry = _is_mass_expiry(front, changes)
@@ -146,7 +148,7 @@
             continue
         view.pending_removals.pop(change.key, None)
         view.documents[change.key] = change.document
-        _APPLY[type(change.document)](front, change)
+        _APPLY[type(change.document)](front, change, source)
     _apply_evacuations(front)
     _update_instance_count(front)
     view.revision = revision
@@ -162,7 +164,7 @@
     view.changed = asyncio.Event()
 
 
-def _apply_policy(front, change):
+def _apply_policy(front, change, source):
     policy = change.document
     view = front.view
     if view.table is not None and policy.number <= view.table.number:
@@ -175,10 +177,11 @@
         policy=policy.number,
         routes=len(policy.routes),
         revision=change.revision,
+        source=source,
     )
 
 
-def _apply_backend(front, change):
+def _apply_backend(front, change, _source):
     entry = change.document
     changed = backends.apply_entry(front.view.backends, entry, time.monotonic())
     if changed.is_none():
@@ -196,7 +199,7 @@
     )
 
 
-def _apply_instance(front, change):
+def _apply_instance(front, change, _source):
     entry = change.document
     before = front.view.instances.get(entry.instance_id)
     front.view.instances[entry.instance_id] = entry
@@ -210,7 +213,7 @@
         )
 
 
-def _skip_evacuation(_front, _change):
+def _skip_evacuation(_front, _change, _source):
     """Does nothing: `_apply_evacuations` applies all evacuations together."""
 
 
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -36,6 +36,27 @@
         "revision",
         "before",
     ),
+    "update_received": (
+        "peer",
+        "revision",
+        "before",
+        "bytes",
+        "transfer_ms",
+        "decode_ms",
+    ),
+    "update_encoded": (
+        "revision",
+        "after",
+        "bytes",
+        "encode_ms",
+    ),
+    "response_sent": (
+        "peer",
+        "path",
+        "bytes",
+        "send_ms",
+    ),
+    "loop_stalled": ("late_ms",),
     "peer_failed": (
         "peer",
         "cause",
@@ -49,6 +70,7 @@
         "policy",
         "routes",
         "revision",
+        "source",
     ),
     "evacuation_started": (
         "failure_domain",
