--- /dev/null
+++ b/integration/test_large_policy.py
@@ -0,0 +1,132 @@
+"""How a policy with many routes reaches the instances of a region with slow links."""
+
+import asyncio
+import random
+import string
+
+import pytest
+from flamingolift_model.plan import InstanceEntry
+from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
+from flamingolift_wire.codec import decode_document, encode_document
+from platformfleet import (
+    HOST,
+    ROUTES,
+    events,
+    has_policy,
+    is_ready,
+    put_policy,
+    send,
+    start_front,
+    wait_until,
+)
+
+INSTANCES = 10
+ROUTE_COUNT = 1600
+LINK_BYTES_PER_S = 10e6 / 8
+"""Bandwidth of a small instance's link, 10 Mbit/s (bytes/s)."""
+REGION_FOLLOWERS = 30
+"""Instances that follow the relays in a region of a large deployment."""
+FOLLOWERS = INSTANCES - 3
+IN_FORCE_S = 3.0
+"""Time in which an acknowledged policy must be in force on every instance (s)."""
+START_TIMEOUT_S = 30.0
+
+
+def make_routes(count, seed=1):
+    """Returns rows of routes with names, hosts and prefixes that do not compress."""
+    rng = random.Random(seed)
+
+    def word(length):
+        return "".join(rng.choices(string.ascii_lowercase + string.digits, k=length))
+
+    hosts = [f"{word(6)}.example" for _ in range(30)]
+    return [
+        [
+            f"r-{word(7)}",
+            rng.choice(hosts),
+            f"/{word(7)}/",
+            "safe",
+            "1500ms",
+            "reads",
+            2,
+            True,
+            [],
+            None,
+        ]
+        for _ in range(count)
+    ]
+
+
+def late_route(number):
+    path = f"/late{number}/"
+    return [f"r-late{number}", HOST, path, "safe", "900ms", "reads", 1, True, [], None]
+
+
+@pytest.fixture
+async def region(platform):
+    """Starts a region whose instances reach each other over slow links.
+
+    Each follower has the share of a relay's link that it would have among
+    `REGION_FOLLOWERS`.
+
+    Yields:
+        Tuple of the list of FrontProcess and the list of their Link.
+    """
+    bytes_per_s = LINK_BYTES_PER_S * FOLLOWERS / REGION_FOLLOWERS
+    links, proxies, proxy_ports = [], [], {}
+
+    def translate(key, value):
+        if not key.startswith("instances/"):
+            return value
+        entry = decode_document(InstanceEntry, value).ok
+        entry.peer_port = proxy_ports[entry.peer_port]
+        return encode_document(entry)
+
+    platform.store.translate = translate
+    fronts = []
+    for number in range(INSTANCES):
+        front = await start_front(platform, f"front-{number}")
+        control_port = front.ports["control"]
+        links.append(Link(bytes_per_s))
+        proxies.append(await start_link_proxy(links[-1], "127.0.0.1", control_port))
+        proxy_ports[control_port] = proxies[-1].port
+        fronts.append(front)
+    for front in fronts:
+        await wait_until(lambda front=front: is_ready(front), START_TIMEOUT_S)
+    await wait_until(
+        lambda: all(len(events(f, "instance_changed")) == INSTANCES for f in fronts)
+    )
+    # Longer than the pause after a change and one round of the watch loop.
+    await asyncio.sleep(2.0)
+    yield fronts, links
+    for proxy in proxies:
+        await stop_link_proxy(proxy)
+
+
+# Guards against relays whose links were filled by a large policy, once for each
+# follower, so that a whole region kept refusing requests on new routes with 404.
+async def test_large_policy_is_in_force_in_time_behind_slow_links(platform, region):
+    fronts, links = region
+    before = sum(link.sent for link in links)
+    routes = [*ROUTES, *make_routes(ROUTE_COUNT), late_route(1)]
+    put_policy(platform.store, 50, routes)
+    await wait_until(lambda: all(has_policy(f, 50) for f in fronts), IN_FORCE_S)
+    for front in fronts:
+        assert (await send(front, "GET", "/late1/a")).status == 200
+    # A relay may use half of the time for its share of the followers.
+    budget = 3 * LINK_BYTES_PER_S * IN_FORCE_S / 2 * FOLLOWERS / REGION_FOLLOWERS
+    assert sum(link.sent for link in links) - before <= budget
+
+
+# Guards against a small change that waits behind a large policy, or sends it again.
+async def test_change_right_after_a_large_policy_is_in_force_in_time(platform, region):
+    fronts, _links = region
+    routes = [*ROUTES, *make_routes(ROUTE_COUNT)]
+    put_policy(platform.store, 60, routes)
+    await asyncio.sleep(0.4)
+    for number in range(61, 64):
+        put_policy(platform.store, number, [*routes, late_route(number)])
+        await asyncio.sleep(0.33)
+    await wait_until(lambda: all(has_policy(f, 63) for f in fronts), IN_FORCE_S - 0.33)
+    for front in fronts:
+        assert (await send(front, "GET", "/late63/a")).status == 200
--- a/standins/src/flamingolift_standins/platformstore.py
+++ b/standins/src/flamingolift_standins/platformstore.py
@@ -44,6 +44,8 @@
         stalls: Number of calls of `stall_watches`.
         missed_by_new_watches: Whether a new watch misses the changes made between the
             revision it asks for and its start.
+        translate: Function of a key and a value (bytes) that returns the value to store
+            for a client's write, as a network address translation would make it appear.
         calls: Map of the kind of call ("range", "watch", ...) to its count.
         changed: Event that is set and replaced at each change.
         runner: aiohttp application runner.
@@ -67,6 +69,7 @@
         "revision",
         "runner",
         "stalls",
+        "translate",
     )
 
     def __init__(self):
@@ -80,6 +83,7 @@
         self.port_modes = {}
         self.stalls = 0
         self.missed_by_new_watches = False
+        self.translate = lambda _key, value: value
         self.calls = {}
         self.changed = asyncio.Event()
         self.runner = None
@@ -243,7 +247,7 @@
         if write.get("lease") and write["lease"] not in store.leases:
             return web.json_response({"error": "no such lease"}, status=404)
     for write in body["set_keys"]:
-        value = base64.b64decode(write["value"])
+        value = store.translate(write["key"], base64.b64decode(write["value"]))
         put_item(store, write["key"], value, write.get("lease", 0))
     return web.json_response({"revision": store.revision})
 
