Send a large update once to each follower, compressed, from one relay

Each follower polled three relays, and each relay answered with the whole policy, 321 KB for 1,600 routes, encoded anew for each follower: about 10 MB from a relay with 30 followers, 8 s on a link of 10 Mbit/s, on which readiness checks, lease renewals and requests of that instance then waited too. Three small relays kept a whole region at the old policy.

Documents are packed and compressed once for all peers. A response may take longer than the wait for it once its first bytes are there. Updates that are not newer are not decoded. The message is generated from schema/viewupdate.toml; builds before and after this change refuse each other's updates and fall back to the store.

--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -9,21 +9,18 @@
 import urllib.parse
 
 import msgpack
-from flamingolift_model import Fault, ResultCode, from_plain, to_plain
-from flamingolift_model.plan import BackendEntry, InstanceEntry
-from flamingolift_model.routing import Evacuation, RoutingPolicy
+from flamingolift_model import Fault, ResultCode
 from flamingolift_wire.codec import MAX_DOCUMENT_BYTES
 
 from flamingolift_front import bytestream, httpcall
 from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
 from flamingolift_front.responses import binary_response, problem_response
-from flamingolift_front.state import ViewChange
 from flamingolift_front.viewsync import apply_changes, apply_snapshot
+from flamingolift_front.viewupdates import decode_update, encode_update
 
 __all__ = [
     "PeerError",
     "PeerLink",
-    "ViewUpdate",
     "apply_update",
     "close_link",
     "fetch_update",
@@ -35,15 +32,14 @@
 """Longest time for a connection to a peer (s)."""
 RESPONSE_TIMEOUT_S = 0.8
 """Longest time for a peer's response beyond the wait that it was granted (s)."""
+TRANSFER_TIMEOUT_S = 10.0
+"""Longest time from the first byte of a peer's response to its last (s): the largest
+update on a slow link that also carries callers' requests."""
 MAX_WAIT_S = 15.0
 """Longest time for which a peer's request waits for changes (s), below the idle
 timeout of its connection."""
 MAX_UPDATE_BYTES = 16 * MAX_DOCUMENT_BYTES
 """Largest update that is accepted (bytes)."""
-_DOCUMENT_CLASSES = {
-    cls.__name__: cls
-    for cls in (RoutingPolicy, Evacuation, BackendEntry, InstanceEntry)
-}
 
 
 class PeerError(Exception):
@@ -65,30 +61,14 @@
         self.stream = None
 
 
-class ViewUpdate:
-    """Changes of a peer's view since a revision.
-
-    Attributes:
-        revision: Revision of the peer's view.
-        is_snapshot: Whether `changes` holds the whole view instead of the difference.
-        changes: List of ViewChange.
-    """
-
-    __slots__ = ("changes", "is_snapshot", "revision")
-
-    def __init__(self, revision, is_snapshot, changes):
-        self.revision = revision
-        self.is_snapshot = is_snapshot
-        self.changes = changes
-
-
 async def serve_view(front, target):
     """Answers a peer's request for the changes since a revision.
 
     Args:
         front: Front.
-        target: Request target with the peer's revision in `after` and the time for
-            which it waits in `wait_ms`.
+        target: Request target with the peer's revision in `after`, the time for which
+            it waits in `wait_ms`, and in `max_bytes` the size from which changes are
+            only announced.
 
     Returns:
         HttpResponse with the update; status 503 to a peer that long-polls while the
@@ -104,12 +84,13 @@
         return problem_response(
             Fault(ResultCode.STORE_UNAVAILABLE, "no updates to relay")
         )
-    return binary_response(200, _pack_update(front, after))
+    max_bytes = _int_parameter(query, "max_bytes", 0)
+    return binary_response(200, _encode_response(front, after, max_bytes))
 
 
-def _pack_update(front, after):
+def _encode_response(front, after, max_bytes):
     started = time.monotonic()
-    body = msgpack.packb(_encode_update(front.view, after))
+    body = encode_update(front.view, after, max_bytes)
     front.metrics.peer_bytes.labels("sent").inc(len(body))
     if len(body) >= LARGE_MESSAGE_BYTES:
         log_event(
@@ -143,32 +124,15 @@
         return
 
 
-def _encode_update(view, after):
-    if view.revision is None:
-        return [-1, False, []]
-    if view.recent_after is not None and view.recent_after <= after:
-        rows = [_encode_change(c) for c in view.recent_changes if c.revision > after]
-        return [view.revision, False, rows]
-    rows = [
-        _encode_change(ViewChange(key, document, view.revision))
-        for key, document in view.documents.items()
-    ]
-    return [view.revision, True, rows]
-
-
-def _encode_change(change):
-    document = change.document
-    name = "" if document is None else type(document).__name__
-    return [change.key, name, to_plain(document), change.revision]
-
-
-async def fetch_update(front, link, wait_s):
+async def fetch_update(front, link, wait_s, max_bytes=0):
     """Requests an update from a peer.
 
     Args:
         front: Front.
         link: PeerLink.
         wait_s: Time for which the peer may wait for changes (s).
+        max_bytes: Size of the changes from which the peer only announces them
+            (bytes); 0 for no limit.
 
     Returns:
         ViewUpdate.
@@ -177,12 +141,12 @@
         PeerError: There is no usable response.
     """
     try:
-        async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
+        async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S) as timer:
             if link.stream is None or link.stream.ended:
                 link.stream = await bytestream.connect(
                     *link.address, CONNECT_TIMEOUT_S, keepalive=True
                 )
-            return await _exchange(front, link, wait_s)
+            return await _exchange(front, link, wait_s, max_bytes, timer)
     except (
         OSError,
         TimeoutError,
@@ -210,13 +174,15 @@
         link.stream = None
 
 
-async def _exchange(front, link, wait_s):
+async def _exchange(front, link, wait_s, max_bytes, timer):
     known = front.view.revision
     after = "" if known is None else known
-    target = f"/view?after={after}&wait_ms={int(wait_s * 1000)}".encode()
+    query = f"after={after}&wait_ms={int(wait_s * 1000)}&max_bytes={max_bytes}"
     headers = [(b"Host", link.address[0].encode())]
+    target = f"/view?{query}".encode()
     call = httpcall.open_call(link.stream, b"GET", target, headers, b"")
     await bytestream.wait_readable(link.stream)
+    timer.reschedule(asyncio.get_running_loop().time() + TRANSFER_TIMEOUT_S)
     began = time.monotonic()
     response = await httpcall.read_response(
         call, lambda _status, _headers: True, MAX_UPDATE_BYTES
@@ -226,15 +192,14 @@
     if not httpcall.is_reusable(call):
         close_link(link)
     received = time.monotonic()
-    revision, is_snapshot, rows = msgpack.unpackb(response.body)
-    update = ViewUpdate(revision, is_snapshot, [_decode_change(row) for row in rows])
+    update = decode_update(response.body, front.view.revision)
     front.metrics.peer_bytes.labels("received").inc(len(response.body))
     if len(response.body) >= LARGE_MESSAGE_BYTES:
         log_event(
             front.log,
             "update_received",
             peer=link_name(link),
-            revision=revision,
+            revision=update.revision,
             before=known,
             bytes=len(response.body),
             transfer_ms=round((received - began) * 1000.0, 1),
@@ -243,20 +208,6 @@
     return update
 
 
-def _decode_change(row):
-    key, name, plain, revision = row
-    if not name:
-        return ViewChange(key, None, revision)
-    built = (
-        from_plain(_DOCUMENT_CLASSES[name], plain)
-        if name in _DOCUMENT_CLASSES
-        else None
-    )
-    if built is None or built.is_error():
-        raise ValueError(f"{key!r:.80} is malformed")
-    return ViewChange(key, built.ok, revision)
-
-
 def apply_update(front, update, peer):
     """Applies a peer's update when it is newer than the instance's own view.
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -13,7 +13,9 @@
 from flamingolift_front.serverpool import ServerPool
 
 __all__ = [
+    "Announcement",
     "Front",
+    "PackedDocument",
     "StorePort",
     "View",
     "ViewChange",
@@ -44,6 +46,38 @@
         self.revision = revision
 
 
+class PackedDocument:
+    """Encoded form of a document, as it is sent to peers.
+
+    Attributes:
+        document: The document that was encoded.
+        compressed: Whether `body` is compressed.
+        body: Encoded form (bytes).
+    """
+
+    __slots__ = ("body", "compressed", "document")
+
+    def __init__(self, document, compressed, body):
+        self.document = document
+        self.compressed = compressed
+        self.body = body
+
+
+class Announcement:
+    """A revision that a relay has announced and not yet delivered.
+
+    Attributes:
+        revision: Revision of the relay's view.
+        at: Time of the first announcement (s, monotonic).
+    """
+
+    __slots__ = ("at", "revision")
+
+    def __init__(self, revision, at):
+        self.revision = revision
+        self.at = at
+
+
 class StorePort:
     """Functions through which a front uses the platform's store.
 
@@ -81,6 +115,9 @@
         backends: BackendView.
         instances: Map of instance id to InstanceEntry.
         documents: Map of store key to the document read from it.
+        packed: Map of store key to the PackedDocument of its document, for the
+            documents that peers have asked for.
+        announcement: Announcement that waits for its update, or None.
         revision: Revision of the store up to which changes were applied; None
             before the first read.
         store_failed_at: Time of the first failed call since the last success (s,
@@ -96,10 +133,12 @@
     """
 
     __slots__ = (
+        "announcement",
         "backends",
         "changed",
         "documents",
         "instances",
+        "packed",
         "pending_removals",
         "recent_after",
         "recent_changes",
@@ -114,6 +153,8 @@
         self.backends = BackendView()
         self.instances = {}
         self.documents = {}
+        self.packed = {}
+        self.announcement = None
         self.revision = None
         self.store_failed_at = None
         self.store_recovered_at = float("-inf")
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -142,6 +142,7 @@
     view = front.view
     mass_expiry = _is_mass_expiry(front, changes)
     for change in changes:
+        view.packed.pop(change.key, None)
         if change.document is None:
             if change.key in view.documents:
                 _remove_or_defer(front, change.key, mass_expiry)
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -56,6 +56,11 @@
         "bytes",
         "send_ms",
     ),
+    "update_overdue": (
+        "revision",
+        "before",
+        "waited_ms",
+    ),
     "loop_stalled": ("late_ms",),
     "peer_failed": (
         "peer",
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -16,7 +16,15 @@
 SCHEMA = ROOT / "schema"
 MODEL = ROOT / "packages/model/src/flamingolift_model"
 DOCS = ROOT / "docs"
-MODULES = ("plan", "policy", "peer", "settings", "routing", "frontsettings")
+MODULES = (
+    "plan",
+    "policy",
+    "peer",
+    "settings",
+    "routing",
+    "frontsettings",
+    "viewupdate",
+)
 
 MODULE_TEMPLATE = '''"""{{ doc }}
 
