--- /dev/null
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -0,0 +1,164 @@
+"""How a follower chooses the relay that sends it an announced update."""
+
+import asyncio
+import time
+
+import pytest
+from flamingolift_decisions.hashing import rendezvous_order
+from flamingolift_front import peersync, relaysync
+from flamingolift_front.bytestream import ByteStream
+from flamingolift_front.internalapi import handle_internal
+from flamingolift_front.lookups import serve_control
+from flamingolift_front.viewsync import apply_changes
+from frontviews import make_entry, make_policy
+
+INSTANCES = 8
+
+
+class Relay:
+    """A front that serves its view on a port of its own.
+
+    Attributes:
+        front: Front.
+        port: TCP port.
+        targets: Request targets, in the order of their arrival.
+        silent: Whether it no longer responds to requests for whole updates.
+    """
+
+    __slots__ = ("front", "port", "server", "silent", "targets", "tasks")
+
+    def __init__(self, front):
+        self.front = front
+        self.port = 0
+        self.server = None
+        self.silent = False
+        self.targets = []
+        self.tasks = set()
+
+    def transfers(self):
+        return [t for t in self.targets if "max_bytes=0" in t]
+
+
+async def start_relay(front):
+    relay = Relay(front)
+
+    async def handle(front, target):
+        relay.targets.append(target)
+        if relay.silent and "max_bytes=0" in target:
+            await asyncio.sleep(3600.0)
+        return await handle_internal(front, target)
+
+    def serve(stream):
+        task = asyncio.ensure_future(serve_control(front, stream, handle))
+        relay.tasks.add(task)
+
+    loop = asyncio.get_running_loop()
+    relay.server = await loop.create_server(lambda: ByteStream(serve), "127.0.0.1", 0)
+    relay.port = relay.server.sockets[0].getsockname()[1]
+    return relay
+
+
+async def stop_relay(relay):
+    relay.server.close()
+    for task in relay.tasks:
+        task.cancel()
+    await asyncio.gather(*relay.tasks, return_exceptions=True)
+
+
+@pytest.fixture
+async def region(new_front, change):
+    """Yields a follower and its relays in the order in which it asks them."""
+    relays = [await start_relay(new_front()) for _ in range(3)]
+    entries = [make_entry(0)]
+    entries += [make_entry(n + 1, relay.port) for n, relay in enumerate(relays)]
+    changes = [change(f"instances/{e.instance_id}", e, 10) for e in entries]
+    follower = new_front(changes)
+    names = [e.instance_id for e in entries[1:]]
+    by_name = dict(zip(names, relays, strict=True))
+    ranked = [by_name[name] for name in rendezvous_order("front-0", names)]
+    follower.view.instances = {}
+    follow = asyncio.ensure_future(relaysync.follow_relays(follower, entries[1:]))
+    yield follower, ranked, follow
+    follow.cancel()
+    await asyncio.gather(follow, return_exceptions=True)
+    for relay in relays:
+        await stop_relay(relay)
+
+
+@pytest.fixture(autouse=True)
+def fixed_relays(monkeypatch):
+    """Makes the relays that a follower started with its relays until the end."""
+    monkeypatch.setattr(
+        relaysync, "current_relays", lambda front: [make_entry(n) for n in (1, 2, 3)]
+    )
+
+
+async def publish(relays, change, routes, revision=11):
+    for relay in relays:
+        policy = change("policy", make_policy(revision, routes), revision)
+        apply_changes(relay.front, [policy], revision)
+
+
+async def wait_for_revision(front, revision):
+    async with asyncio.timeout(5.0):
+        while front.view.revision < revision:
+            await asyncio.sleep(0.01)
+
+
+async def test_small_update_comes_with_the_poll(region, change):
+    follower, relays, _follow = region
+    await asyncio.sleep(0.2)
+    await publish(relays, change, 2)
+    await wait_for_revision(follower, 11)
+    assert follower.view.table.number == 11
+    assert not any(relay.transfers() for relay in relays)
+
+
+# Guards against a follower that transfers a large update from each of its relays.
+async def test_large_update_is_transferred_once(region, change):
+    follower, relays, _follow = region
+    await asyncio.sleep(0.2)
+    await publish(relays, change, 4000)
+    await wait_for_revision(follower, 11)
+    await asyncio.sleep(2 * relaysync.HEDGE_S)
+    assert [len(relay.transfers()) for relay in relays] == [1, 0, 0]
+
+
+async def test_next_relay_sends_the_update_when_the_first_does_not(region, change):
+    follower, relays, _follow = region
+    await asyncio.sleep(0.2)
+    relays[0].silent = True
+    await publish(relays, change, 4000)
+    await wait_for_revision(follower, 11)
+    assert [len(relay.transfers()) for relay in relays] == [1, 1, 0]
+
+
+async def test_relay_that_is_late_is_not_waited_for(region, change):
+    follower, relays, _follow = region
+    await asyncio.sleep(0.2)
+    await publish(relays[1:], change, 4000)
+    await wait_for_revision(follower, 11)
+    assert [len(relay.transfers()) for relay in relays] == [0, 1, 0]
+
+
+# Guards against a follower that waits for relays that announce and never deliver.
+async def test_announced_update_that_does_not_arrive_ends_the_following(region, change):
+    follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    for relay in relays:
+        relay.silent = True
+    started = time.monotonic()
+    await publish(relays, change, 4000)
+    assert await asyncio.wait_for(follow, 5.0) is False
+    assert follower.view.revision == 10
+    assert follower.view.announcement is None
+    # Half of the time in which a change must be in force is left for the store.
+    assert time.monotonic() - started < peersync.RESPONSE_TIMEOUT_S + 2.0
+
+
+async def test_all_relays_gone_ends_the_following(region):
+    _follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    for relay in relays:
+        await stop_relay(relay)
+    assert await asyncio.wait_for(follow, 5.0) is False
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import time
 
 from flamingolift_decisions import backends, routetable
@@ -158,13 +159,29 @@
 
 def _record_recent(view, changes):
     """Keeps recent changes for peers and wakes the tasks that wait for them."""
-    view.recent_changes.extend(changes)
+    replaced = {c.key for c in changes if isinstance(c.document, RoutingPolicy)}
+    if replaced:
+        recent = [*view.recent_changes, *changes]
+        view.recent_changes = collections.deque(_without_superseded(recent, replaced))
+    else:
+        view.recent_changes.extend(changes)
     while len(view.recent_changes) > MAX_RECENT_CHANGES:
         view.recent_after = view.recent_changes.popleft().revision
     view.changed.set()
     view.changed = asyncio.Event()
 
 
+def _without_superseded(changes, keys):
+    """Returns changes without those that a later one of the same key replaces.
+
+    Args:
+        changes: List of ViewChange, oldest first.
+        keys: Keys to which this applies; all changes of other keys are kept.
+    """
+    latest = {change.key: change for change in changes}
+    return [c for c in changes if c.key not in keys or latest[c.key] is c]
+
+
 def _apply_policy(front, change, source):
     policy = change.document
     view = front.view
