Let the link proxy limit requests too

The proxy paced only the responses of its target. The new argument is optional and the existing test does not use it.

--- a/standins/src/flamingolift_standins/linkproxy.py
+++ b/standins/src/flamingolift_standins/linkproxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy with the limited outgoing bandwidth of one machine's link, for tests."""
+"""TCP proxy with the limited bandwidth of one machine's link, in both directions."""
 
 import asyncio
 import contextlib
@@ -9,7 +9,7 @@
 
 
 class Link:
-    """Outgoing bandwidth that all connections of one machine share.
+    """Bandwidth, in one direction, that all connections of one machine share.
 
     Attributes:
         bytes_per_s: Bandwidth (bytes/s).
@@ -27,10 +27,10 @@
 
 
 class LinkProxy:
-    """A proxy in front of one port of a machine.
+    """A proxy in front of one port.
 
     Attributes:
-        link: Link of the machine.
+        link: Link that carries the responses of the target.
         target: (host, port) behind the proxy.
         port: TCP port of the proxy.
         server: asyncio server.
@@ -47,16 +47,22 @@
         self.writers = set()
 
 
-async def start_link_proxy(link, host, port):
+async def start_link_proxy(link, host, port, request_link=None):
     """Returns a running LinkProxy.
 
     Args:
         link: Link that carries the responses of the target.
         host: IP address of the target.
         port: TCP port of the target.
+        request_link: Link that carries the requests; unlimited when it is None.
     """
     proxy = LinkProxy(link, (host, port))
 
+    def carry_requests(reader, writer):
+        if request_link is None:
+            return _copy(reader, writer)
+        return _carry(request_link, reader, writer)
+
     async def accept(reader, writer):
         try:
             target_reader, target_writer = await asyncio.open_connection(*proxy.target)
@@ -67,7 +73,8 @@
         # The event loop cancels the task of a connection that outlives a test.
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(
-                _copy(reader, target_writer), _carry(link, target_reader, writer)
+                carry_requests(reader, target_writer),
+                _carry(link, target_reader, writer),
             )
         proxy.writers -= {writer, target_writer}
 
@@ -85,7 +92,7 @@
 
 
 async def _copy(reader, writer):
-    """Copies a machine's incoming bytes; their sender's link limits them."""
+    """Copies bytes that no link of this proxy limits."""
     try:
         while chunk := await reader.read(CHUNK_BYTES):
             writer.write(chunk)
@@ -97,7 +104,7 @@
 
 
 async def _carry(link, reader, writer):
-    """Copies a machine's outgoing bytes at the pace of its link."""
+    """Copies bytes at the pace of a link."""
     loop = asyncio.get_running_loop()
     try:
         while chunk := await reader.read(CHUNK_BYTES):
