--- a/bench/peers.py
+++ b/bench/peers.py
@@ -14,8 +14,8 @@
     OPERATOR_KEY,
     PEER_KEYS,
     TICKET_KEYS,
-    free_ports,
 )
+from flamingolift_standins.ports import free_ports
 from flamingolift_wire.codec import encode_document
 
 from bench.deployments import RAIL
--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -3,11 +3,11 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 
 from flamingolift_standins.platformserver import start_server, stop_server
 from flamingolift_standins.platformstore import put_item, start_store, stop_store
+from flamingolift_standins.ports import free_ports
 
 RETRY_WINDOW_S = 1.0
 """Window of the retry budget in `SETTINGS` (s); the fixed part of the budget is
@@ -92,17 +92,6 @@
         self.settings_path = settings_path
 
 
-def free_ports(count):
-    """Returns TCP ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def put_policy(store, version, routes=ROUTES, columns=ROUTE_COLUMNS):
     """Writes a configuration, with its routes as a table, to the store."""
     names = sorted({row[5] for row in routes if row[5]})
--- a/standins/src/flamingolift_standins/fleet.py
+++ b/standins/src/flamingolift_standins/fleet.py
@@ -4,22 +4,20 @@
 import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import time
 
 import aiohttp
 
 from flamingolift_standins.fleetcontrol import backend_reports, publish_live
+from flamingolift_standins.ports import free_ports
 
 __all__ = [
     "OPERATOR_KEY",
     "Fleet",
     "FleetInstance",
     "Network",
-    "free_ports",
     "instance_environment",
     "is_ready",
     "operator_get",
@@ -42,8 +40,6 @@
 """Regions of the Rail Authority with their failure domains."""
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
 
 
 class FleetInstance:
@@ -179,17 +175,6 @@
         return f"http://127.0.0.1:{self.store_port}"
 
 
-def free_ports(count):
-    """Returns distinct TCP ports that are free now, below the ephemeral range."""
-    found = set()
-    while len(found) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("0.0.0.0", port))
-            found.add(port)
-    return list(found)
-
-
 async def wait_until(check, timeout_s=START_TIMEOUT_S, description="condition"):
     """Polls an asynchronous function until it returns a true value.
 
