--- a/bench/spreadreport.py
+++ b/bench/spreadreport.py
@@ -11,6 +11,7 @@
 
 BOUNDS_S = (2.5, 3.0)
 """Times by which a policy should be in force on every instance (s)."""
+TIME_FIELDS = ("median_s", "p95_s", "max_s", "relays_max_s")
 COUNTED = ("flamingolift_store_calls_total", "flamingolift_peer_update_bytes_total")
 
 
@@ -117,23 +118,30 @@
 
 def _summarize_change(run, fronts, version):
     """Returns how long a policy, or a newer one, took to be in force."""
-    accepted = run.accepted[version]
-    times_s = []
-    for front in fronts:
-        events = read_events(front.log_path, "policy_in_force")
-        in_force = [e["mono"] for e in events if e["policy"] >= version]
-        if in_force and min(in_force) <= run.ended:
-            times_s.append(max(0.0, min(in_force) - accepted))
+    times_s = {f.name: _time_in_force(run, f, version) for f in fronts}
+    known_s = [time_s for time_s in times_s.values() if time_s is not None]
+    relays_s = [times_s.get(front.name) for front in run.relays]
+    relays_s = [time_s for time_s in relays_s if time_s is not None]
     row = {"version": version, "policy_bytes": run.policy_bytes[version]}
-    row["never"] = len(fronts) - len(times_s)
+    row["never"] = len(fronts) - len(known_s)
     for bound_s in BOUNDS_S:
-        in_time = sum(time_s <= bound_s for time_s in times_s)
+        in_time = sum(time_s <= bound_s for time_s in known_s)
         row[f"late_{bound_s}"] = len(fronts) - in_time
     for name, share in (("median_s", 0.5), ("p95_s", 0.95), ("max_s", 1.0)):
-        row[name] = round(percentile(times_s, share), 3) if times_s else None
+        row[name] = round(percentile(known_s, share), 3) if known_s else None
+    row["relays_max_s"] = round(max(relays_s), 3) if relays_s else None
     return row
 
 
+def _time_in_force(run, front, version):
+    """Returns the time from acceptance to a policy or a newer one (s), or None."""
+    events = read_events(front.log_path, "policy_in_force")
+    in_force = [e["mono"] for e in events if e["policy"] >= version]
+    if not in_force or min(in_force) > run.ended:
+        return None
+    return max(0.0, min(in_force) - run.accepted[version])
+
+
 def _summarize_link(run, front, window_s):
     link = run.links[front.name]
     outgoing_before, incoming_before = run.sent[front.name]
@@ -205,9 +213,9 @@
         f" {machine['cores']} cores; bench late by up to {found['bench_late_ms']} ms;"
         f" {found['resident_mb']} MB; relays {found['relays']}, cut {found['cut']}"
     )
-    print("version    bytes  median    p95    max  >2.5 s  >3 s  never")
+    print("version    bytes  median    p95    max  relays  >2.5 s  >3 s  never")
     for row in found["changes"]:
-        times = (row[field] for field in ("median_s", "p95_s", "max_s"))
+        times = (row[field] for field in TIME_FIELDS)
         texts = ["     -" if time_s is None else f"{time_s:6.2f}" for time_s in times]
         print(
             f"{row['version']:7} {row['policy_bytes']:8}  {' '.join(texts)}"
