Let the spread bench kill relays

The processes whose memory is sampled were looked up after the relays had failed, so that a run with killed relays ended with NoSuchProcess. They are looked up before.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -276,15 +276,17 @@
     ]
 
 
-async def _sample(region, samples):
+async def _sample(ports, processes, samples):
     """Samples until cancelled.
 
+    Args:
+        ports: Set of control ports.
+        processes: List of psutil.Process whose memory is counted.
+        samples: Samples.
+
     Raises:
         MemoryError: The processes use more than their share of the memory.
     """
-    ports = {front.ports["control"] for front in region.platform.fronts}
-    processes = [psutil.Process(f.process.pid) for f in region.platform.fronts]
-    processes.append(psutil.Process())
     limit = MAX_MEMORY_SHARE * psutil.virtual_memory().total
     loop = asyncio.get_running_loop()
     while True:
@@ -339,7 +341,10 @@
     metrics = {f.name: await read_metrics(f.ports["metrics"]) for f in intact}
     sent = {n: (k.outgoing.sent, k.incoming.sent) for n, k in region.links.items()}
     samples = Samples()
-    sampling = asyncio.create_task(_sample(region, samples))
+    ports = {front.ports["control"] for front in fronts}
+    processes = [psutil.Process(front.process.pid) for front in fronts]
+    processes.append(psutil.Process())
+    sampling = asyncio.create_task(_sample(ports, processes, samples))
     run = Run(fronts, relays, cut, region.links, samples, metrics, sent)
     try:
         for front in cut:
