--- a/bench/spread.py
+++ b/bench/spread.py
@@ -40,9 +40,6 @@
 INSTANCE_BYTES = 80 << 20
 """Memory for which each instance is planned (bytes)."""
 START_TIMEOUT_S = 60.0
-PORT_TAKEN = "address already in use"
-"""Text in the log of an instance whose port was taken between its choice and the
-instance's start; the instance is started again."""
 SETTLE_S = 3.0
 """Time without changes before the first measured one (s): longer than the pauses of
 the instances between two rounds of their updates."""
@@ -198,11 +195,6 @@
         await _start_instance(region, name, control_ports)
     deadline = time.monotonic() + START_TIMEOUT_S
     while waiting := [f for f in platform.fronts if not await _is_up(f, scenario)]:
-        for front in waiting:
-            if front.process.returncode is not None and PORT_TAKEN in _read_text(front):
-                click.echo(f"{front.name} started again: {PORT_TAKEN}", err=True)
-                platform.fronts.remove(front)
-                await _start_instance(region, front.name, control_ports)
         if time.monotonic() > deadline:
             logs = [_read_text(front)[-1000:] for front in waiting]
             raise TimeoutError("\n".join(("instances did not start:", *logs)))
