Ask the next relay only when a transfer makes no progress

The next relay's turn, and the fall back to the store, now come after a time without any bytes. A task of its own watches for an overdue update.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -366,7 +366,9 @@
         version = FIRST_VERSION + index
         put_policy(store, version, routes)
         run.accepted[version] = time.monotonic()
-        run.policy_bytes[version] = len(store.items["op/config"]["value"]) * 3 // 4
+        # The policy is the store's largest item, held in base64.
+        largest = max(len(item["value"]) for item in store.items.values())
+        run.policy_bytes[version] = largest * 3 // 4
         routes.append(_late_route(index))
 
 
--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -9,6 +9,7 @@
     "abort",
     "close",
     "connect",
+    "extend_while_receiving",
     "flush",
     "peer_host",
     "read",
@@ -43,6 +44,7 @@
         ended: Whether the peer sent end of file or the connection is lost.
         error: Exception that ended the connection, or None.
         on_open: Function called with the stream when it is connected, or None.
+        on_data: Function called without arguments when bytes arrive, or None.
         on_end: Function called without arguments when `ended` becomes true, or None.
     """
 
@@ -50,6 +52,7 @@
         "buffer",
         "ended",
         "error",
+        "on_data",
         "on_end",
         "on_open",
         "transport",
@@ -65,6 +68,7 @@
         self.ended = False
         self.error = None
         self.on_open = on_open
+        self.on_data = None
         self.on_end = None
 
     def connection_made(self, transport):
@@ -80,6 +84,8 @@
     def data_received(self, data):
         """Buffers received bytes; called by the event loop."""
         self.buffer += data
+        if self.on_data is not None:
+            self.on_data()
         if len(self.buffer) > READ_HIGH_WATER_BYTES:
             self.transport.pause_reading()
         _wake(self.waiter)
@@ -186,6 +192,28 @@
         stream.waiter = None
 
 
+def extend_while_receiving(stream, timer, idle_s, total_s, on_data=None):
+    """Extends a timeout as long as bytes arrive, until `stream.on_data` is reset.
+
+    Args:
+        stream: ByteStream.
+        timer: `asyncio.Timeout` that is entered; it never ends earlier than before.
+        idle_s: Time after the last bytes at which the timeout ends (s).
+        total_s: Time from now after which it is no longer extended (s).
+        on_data: Function called without arguments when bytes arrive, or None.
+    """
+    loop = asyncio.get_running_loop()
+    last = loop.time() + total_s
+
+    def extend():
+        if on_data is not None:
+            on_data()
+        if not timer.expired():
+            timer.reschedule(max(timer.when(), min(last, loop.time() + idle_s)))
+
+    stream.on_data = extend
+
+
 def peer_host(stream):
     """Returns the IP address of the peer, empty when the connection is lost."""
     address = stream.transport.get_extra_info("peername")
--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -32,9 +32,11 @@
 """Longest time for a connection to a peer (s)."""
 RESPONSE_TIMEOUT_S = 0.8
 """Longest time for a peer's response beyond the wait that it was granted (s)."""
+TRANSFER_IDLE_S = 1.0
+"""Longest pause within a peer's response (s): several retransmissions."""
 TRANSFER_TIMEOUT_S = 10.0
-"""Longest time from the first byte of a peer's response to its last (s): the largest
-update on a slow link that also carries callers' requests."""
+"""Longest time for a peer's response in all, beyond the wait that it was granted (s):
+the largest update on a slow link that also carries callers' requests."""
 MAX_WAIT_S = 15.0
 """Longest time for which a peer's request waits for changes (s), below the idle
 timeout of its connection."""
@@ -124,7 +126,7 @@
         return
 
 
-async def fetch_update(front, link, wait_s, max_bytes=0):
+async def fetch_update(front, link, wait_s, max_bytes=0, on_progress=None):
     """Requests an update from a peer.
 
     Args:
@@ -133,6 +135,7 @@
         wait_s: Time for which the peer may wait for changes (s).
         max_bytes: Size of the changes from which the peer only announces them
             (bytes); 0 for no limit.
+        on_progress: Function called when bytes of the response arrive, or None.
 
     Returns:
         ViewUpdate.
@@ -146,7 +149,14 @@
                 link.stream = await bytestream.connect(
                     *link.address, CONNECT_TIMEOUT_S, keepalive=True
                 )
-            return await _exchange(front, link, wait_s, max_bytes, timer)
+            stream = link.stream
+            bytestream.extend_while_receiving(
+                stream, timer, TRANSFER_IDLE_S, wait_s + TRANSFER_TIMEOUT_S, on_progress
+            )
+            try:
+                return await _exchange(front, link, wait_s, max_bytes)
+            finally:
+                stream.on_data = None
     except (
         OSError,
         TimeoutError,
@@ -174,7 +184,7 @@
         link.stream = None
 
 
-async def _exchange(front, link, wait_s, max_bytes, timer):
+async def _exchange(front, link, wait_s, max_bytes):
     known = front.view.revision
     after = "" if known is None else known
     query = f"after={after}&wait_ms={int(wait_s * 1000)}&max_bytes={max_bytes}"
@@ -182,7 +192,6 @@
     target = f"/view?{query}".encode()
     call = httpcall.open_call(link.stream, b"GET", target, headers, b"")
     await bytestream.wait_readable(link.stream)
-    timer.reschedule(asyncio.get_running_loop().time() + TRANSFER_TIMEOUT_S)
     began = time.monotonic()
     response = await httpcall.read_response(
         call, lambda _status, _headers: True, MAX_UPDATE_BYTES
--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -2,11 +2,12 @@
 
 Every relay reports a change at once. A large one is only announced, and each follower
 transfers it from one relay; the order in which it asks them is its own, so that the
-followers share out the relays' links. The next relay is asked when the transfer takes
-too long, and in the end the store.
+followers share out the relays' links. The next relay is asked when a transfer makes no
+progress, and in the end the store.
 """
 
 import asyncio
+import contextlib
 import time
 
 from flamingolift_decisions.hashing import rendezvous_order
@@ -14,7 +15,6 @@
 
 from flamingolift_front import peersync
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.state import Announcement
 
 __all__ = ["current_relays", "follow_relays"]
 
@@ -28,15 +28,32 @@
 INLINE_BYTES = 8192
 """Size of the changes from which a relay only announces them (bytes): smaller ones take
 less time than a second request."""
-HEDGE_S = 0.3
-"""Time after which a follower asks the next relay for an announced update (s), beyond
-the time that its transfer takes."""
-HEDGE_BYTES_PER_S = 250_000
-"""Transfer rate that a follower expects of a relay (bytes/s): a link of 10 Mbit/s on
-which five followers are served at once."""
-ANNOUNCED_TIMEOUT_S = 1.2
-"""Time after which an announced update is read from the store instead (s); half of the
-shortest time in which a change must be in force."""
+HEDGE_S = 0.5
+"""Time without progress of a transfer after which a follower asks the next relay for
+the update (s): the followers of a relay share its link, and their first bytes wait."""
+ANNOUNCED_TIMEOUT_S = 1.4
+"""Time without progress after which an announced update is read from the store (s); by
+then all relays were asked."""
+
+
+class Following:
+    """State of following one set of relays.
+
+    Attributes:
+        revision: Highest announced revision.
+        progress_at: Time of the last announcement of a higher revision, or of the last
+            bytes of a transfer (s, monotonic).
+        announced: Event that is set while an announced revision has not arrived.
+        transfers: Number of transfers in progress.
+    """
+
+    __slots__ = ("announced", "progress_at", "revision", "transfers")
+
+    def __init__(self):
+        self.revision = -1
+        self.progress_at = 0.0
+        self.announced = asyncio.Event()
+        self.transfers = 0
 
 
 def current_relays(front):
@@ -63,6 +80,8 @@
     """
     names = [entry.instance_id for entry in relays]
     ranks = {n: r for r, n in enumerate(rendezvous_order(front.cfg.instance_id, names))}
+    following = Following()
+    overdue = asyncio.ensure_future(_wait_overdue(front, following))
     pending, failing = {}, set()
     try:
         while [entry.instance_id for entry in current_relays(front)] == names:
@@ -71,10 +90,12 @@
                 if name not in pending:
                     pause = RELAY_RETRY_S if name in failing else 0.0
                     link = _link_to(front, entry)
-                    poll = _poll_relay(front, link, ranks[name], pause)
+                    poll = _poll_relay(front, following, link, ranks[name], pause)
                     pending[name] = asyncio.ensure_future(poll)
-            await _wait_for_poll(front, pending)
-            if _is_overdue(front):
+            await asyncio.wait(
+                [overdue, *pending.values()], return_when=asyncio.FIRST_COMPLETED
+            )
+            if overdue.done():
                 return False
             relay_failed = False
             for name in [name for name, task in pending.items() if task.done()]:
@@ -88,50 +109,33 @@
             await asyncio.sleep(RELAY_PAUSE_S)
         return True
     finally:
-        for task in pending.values():
+        tasks = [overdue, *pending.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*pending.values(), return_exceptions=True)
-
-
-async def _wait_for_poll(front, pending):
-    """Waits until a poll is done or the announced update is overdue."""
-    timeout_s = None
-    announcement = _open_announcement(front.view)
-    if announcement is not None:
-        timeout_s = announcement.at + ANNOUNCED_TIMEOUT_S - time.monotonic()
-        timeout_s = max(0.0, timeout_s)
-    tasks = pending.values()
-    await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
-
-
-def _open_announcement(view):
-    """Returns the Announcement whose update has not arrived, or None."""
-    announcement = view.announcement
-    if announcement is None or view.revision >= announcement.revision:
-        return None
-    return announcement
-
-
-def _is_overdue(front):
-    """Returns whether an announced update is overdue; the announcement then ends."""
-    announcement = _open_announcement(front.view)
-    if announcement is None:
-        return False
-    waited_s = time.monotonic() - announcement.at
-    if waited_s < ANNOUNCED_TIMEOUT_S:
-        return False
-    front.view.announcement = None
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _wait_overdue(front, following):
+    """Returns once no relay makes progress with an announced update."""
+    while True:
+        await following.announced.wait()
+        idle_s = time.monotonic() - following.progress_at
+        if front.view.revision >= following.revision:
+            following.announced.clear()
+        elif idle_s < ANNOUNCED_TIMEOUT_S:
+            await asyncio.sleep(ANNOUNCED_TIMEOUT_S - idle_s)
+        else:
+            break
     log_event(
         front.log,
         "update_overdue",
-        revision=announcement.revision,
+        revision=following.revision,
         before=front.view.revision,
-        waited_ms=round(waited_s * 1000.0, 1),
+        idle_ms=round(idle_s * 1000.0, 1),
     )
-    return True
 
 
-async def _poll_relay(front, link, rank, pause_s):
+async def _poll_relay(front, following, link, rank, pause_s):
     """Applies a relay's next update after a pause; returns whether it responded."""
     await asyncio.sleep(pause_s)
     try:
@@ -139,9 +143,10 @@
             front, link, peersync.MAX_WAIT_S, INLINE_BYTES
         )
         if update.announced_bytes:
-            if await _arrives_elsewhere(front.view, update, rank):
+            _record_announcement(following, update.revision)
+            if await _arrives_elsewhere(front.view, following, update.revision, rank):
                 return True
-            update = await peersync.fetch_update(front, link, 0.0)
+            update = await _transfer(front, following, link)
     except peersync.PeerError as exc:
         _log_failure(front, link, exc)
         return False
@@ -149,21 +154,44 @@
     return True
 
 
-async def _arrives_elsewhere(view, update, rank):
+async def _transfer(front, following, link):
+    following.transfers += 1
+    try:
+        return await peersync.fetch_update(
+            front, link, 0.0, on_progress=lambda: _record_progress(following)
+        )
+    finally:
+        following.transfers -= 1
+
+
+def _record_announcement(following, revision):
+    if revision > following.revision:
+        following.revision = revision
+        _record_progress(following)
+        following.announced.set()
+
+
+def _record_progress(following):
+    following.progress_at = time.monotonic()
+
+
+async def _arrives_elsewhere(view, following, revision, rank):
     """Waits for an announced update until it is this relay's turn to send it.
 
+    The turn comes when the relays before it, or one that already sends the update, made
+    no progress for some time.
+
     Returns:
         Whether the update arrived meanwhile.
     """
-    if _open_announcement(view) is None:
-        view.announcement = Announcement(update.revision, time.monotonic())
-    delay_s = rank * (HEDGE_S + update.announced_bytes / HEDGE_BYTES_PER_S)
-    try:
-        async with asyncio.timeout(delay_s):
-            while view.revision < update.revision:
+    while view.revision < revision:
+        turn_after_s = HEDGE_S * max(rank, min(following.transfers, 1))
+        idle_s = time.monotonic() - following.progress_at
+        if idle_s >= turn_after_s:
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(turn_after_s - idle_s):
                 await view.changed.wait()
-    except TimeoutError:
-        return False
     return True
 
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -13,7 +13,6 @@
 from flamingolift_front.serverpool import ServerPool
 
 __all__ = [
-    "Announcement",
     "Front",
     "PackedDocument",
     "StorePort",
@@ -63,21 +62,6 @@
         self.body = body
 
 
-class Announcement:
-    """A revision that a relay has announced and not yet delivered.
-
-    Attributes:
-        revision: Revision of the relay's view.
-        at: Time of the first announcement (s, monotonic).
-    """
-
-    __slots__ = ("at", "revision")
-
-    def __init__(self, revision, at):
-        self.revision = revision
-        self.at = at
-
-
 class StorePort:
     """Functions through which a front uses the platform's store.
 
@@ -117,7 +101,6 @@
         documents: Map of store key to the document read from it.
         packed: Map of store key to the PackedDocument of its document, for the
             documents that peers have asked for.
-        announcement: Announcement that waits for its update, or None.
         revision: Revision of the store up to which changes were applied; None
             before the first read.
         store_failed_at: Time of the first failed call since the last success (s,
@@ -133,7 +116,6 @@
     """
 
     __slots__ = (
-        "announcement",
         "backends",
         "changed",
         "documents",
@@ -154,7 +136,6 @@
         self.instances = {}
         self.documents = {}
         self.packed = {}
-        self.announcement = None
         self.revision = None
         self.store_failed_at = None
         self.store_recovered_at = float("-inf")
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -59,7 +59,7 @@
     "update_overdue": (
         "revision",
         "before",
-        "waited_ms",
+        "idle_ms",
     ),
     "loop_stalled": ("late_ms",),
     "peer_failed": (
