Check documents with functions made once for each class

Callers waited while a large routing policy was read: the conversion runs on their event loop. Cause: each value parsed its type's notation, made a Field and the path for a fault it did not have, and went through generic dispatch; each record built its set of known fields and bound all fields by keyword.

Now each class resolves its fields once, at the first use, into plain check functions. A usual scalar is accepted in place, a record is filled without its constructor, and a path is put together from the inside out only when a fault is found. to_plain copies a blank table of the class and converts only values of another type than the declared scalar.

--- a/packages/model/src/flamingolift_model/record.py
+++ b/packages/model/src/flamingolift_model/record.py
@@ -3,7 +3,11 @@
 Plain values are what msgpack and TOML decode to: dicts, lists and scalars.
 """
 
+import copy
+import functools
+import math
 import re
+import sys
 
 from expression import Error, Ok, Result
 
@@ -27,7 +31,12 @@
 """Default of a required field."""
 
 _SCALARS = {"int": int, "float": (int, float), "str": str, "bool": bool, "bytes": bytes}
+# Types that decoders return; a subclass of one is accepted as well.
+_USUAL_TYPES = {"int": int, "float": float, "str": str, "bool": bool, "bytes": bytes}
+_SCALAR_TYPES = frozenset((*_USUAL_TYPES.values(), type(None)))
 _CONTAINER = re.compile(r"^(list|map)\[(.+)\]$")
+_INVALID = object()
+"""Result of a check that found faults."""
 
 
 class Fault:
@@ -155,17 +164,39 @@
     Returns:
         The value with every record replaced by a dict, unknown fields included.
     """
+    # Scalars are recognised in place; a call for each would cost more than the rest.
+    if isinstance(record, list):
+        if not record:
+            return []
+        return [
+            item if type(item) in _SCALAR_TYPES else to_plain(item) for item in record
+        ]
     if isinstance(record, Record):
-        plain = {f.name: to_plain(getattr(record, f.name)) for f in record.FIELDS}
-        plain.update(record.unknown)
+        plain, fields = _plain_layout(type(record))
+        plain = plain.copy()
+        for name, usual_type in fields:
+            item = getattr(record, name)
+            if type(item) is not usual_type:
+                item = to_plain(item)
+            plain[name] = item
+        if record.unknown:
+            plain.update(record.unknown)
         return plain
-    if isinstance(record, list):
-        return [to_plain(item) for item in record]
     if isinstance(record, dict):
-        return {key: to_plain(item) for key, item in record.items()}
+        return {
+            key: item if type(item) in _SCALAR_TYPES else to_plain(item)
+            for key, item in record.items()
+        }
     return record
 
 
+@functools.cache
+def _plain_layout(cls):
+    """Returns a dict with all fields, and each name with its usual scalar type."""
+    fields = tuple((f.name, _USUAL_TYPES.get(f.type)) for f in cls.FIELDS)
+    return dict.fromkeys(name for name, _ in fields), fields
+
+
 def from_plain(cls, value, strict=False) -> Result:
     """Builds a record from plain values and validates it.
 
@@ -181,123 +212,239 @@
         that is missing, of the wrong type or out of range. Each detail starts
         with the path of the field.
     """
-    faults = []
-    record = _build(cls, value, "", strict, faults, 0)
-    return Error(faults) if faults else Ok(record)
-
-
-def _add_fault(faults, path, text):
-    faults.append(Fault(ResultCode.POLICY_FIELD, f"{path or 'document'}: {text}"))
-
-
-def _build(cls, value, path, strict, faults, depth):
-    if not isinstance(value, dict):
-        _add_fault(faults, path, "must be a table")
-        return None
-    if depth > MAX_DEPTH:
-        _add_fault(faults, path, "is nested too deeply")
-        return None
-    faults_before = len(faults)
-    arguments = {}
-    for field in cls.FIELDS:
-        field_path = f"{path}.{field.name}" if path else field.name
-        if field.name in value:
-            item = value[field.name]
-            arguments[field.name] = _check(
-                cls, field, field.type, item, field_path, strict, faults, depth
-            )
-        elif field.default is MISSING and not field.optional:
-            _add_fault(faults, field_path, "is required")
-    unknown = _unknown_fields(cls, value, path, strict, faults)
-    if len(faults) > faults_before:
-        return None
-    record = cls(**arguments)
-    record.unknown = unknown
-    return record
+    found = []
+    record = _make_record_check(cls)(value, found, strict, 0)
+    if record is not _INVALID:
+        return Ok(record)
+    return Error([_make_fault(path, text) for path, text in found])
+
+
+def _make_fault(path, text):
+    path = path.removeprefix(".") or "document"
+    return Fault(ResultCode.POLICY_FIELD, f"{path}: {text}")
+
+
+# A check is a function (value, found, strict, depth) that returns the value to keep,
+# or _INVALID after it added one or more (path, text) to `found`. Paths are relative to
+# the checked value; each caller puts its own step before them, so that a value without
+# a fault costs no path.
+
+
+def _prepend_step(found, start, step):
+    """Puts a step before the paths from `start` on; returns the number of faults."""
+    found[start:] = [(step + path, text) for path, text in found[start:]]
+    return len(found)
+
+
+@functools.cache
+def _make_record_check(cls):
+    fields = None  # Made at the first use: a class may refer to itself.
+
+    def check_record(value, found, strict, depth):
+        nonlocal fields
+        if not isinstance(value, dict):
+            found.append(("", "must be a table"))
+            return _INVALID
+        if depth > MAX_DEPTH:
+            found.append(("", "is nested too deeply"))
+            return _INVALID
+        if fields is None:
+            fields = _make_field_checks(cls)
+        start = end = len(found)
+        known = len(fields)
+        # Filled in place: the constructor would bind each field by its name again.
+        record = cls.__new__(cls)
+        for name, usual_type, sized, low, high, check, make_default in fields:
+            if name in value:
+                item = value[name]
+                # Most fields are usual scalars; a call for each would cost more.
+                if type(item) is not usual_type or not (
+                    low <= (len(item) if sized else item) <= high
+                ):
+                    item = check(item, found, strict, depth + 1)
+            else:
+                known -= 1
+                item = make_default(found)
+            if item is _INVALID:
+                end = _prepend_step(found, end, f".{name}")
+            setattr(record, name, item)
+        if len(value) == known:
+            record.unknown = {}
+        else:
+            record.unknown = _unknown_fields(cls, value, found, strict)
+        return record if len(found) == start else _INVALID
+
+    return check_record
+
+
+def _make_field_checks(cls):
+    """Returns what `check_record` needs of each field, in their order."""
+    return tuple(
+        (
+            field.name,
+            None if field.enum else _USUAL_TYPES.get(field.type),
+            field.type in ("str", "bytes"),
+            *_bounds(field, field.type),
+            _make_check(cls, field, field.type),
+            _make_default_function(field),
+        )
+        for field in cls.FIELDS
+    )
+
+
+def _make_default_function(field):
+    """Returns a function of `found` that returns the value of an absent field."""
+    default = field.default
+
+    def add_required_fault(found):
+        found.append(("", "is required"))
+        return _INVALID
 
+    def make_container(found):
+        return copy.deepcopy(default) if default else type(default)()
 
-def _unknown_fields(cls, value, path, strict, faults):
+    if isinstance(default, (list, dict)):
+        return make_container
+    if field.optional:
+        return lambda found: None
+    return add_required_fault if default is MISSING else lambda found: default
+
+
+def _unknown_fields(cls, value, found, strict):
     known = {field.name for field in cls.FIELDS}
     unknown = {k: v for k, v in value.items() if k not in known}
     if strict:
-        for name in unknown:
-            field_path = f"{path}.{name}" if path else str(name)
-            _add_fault(faults, field_path, "is not a known field")
+        found.extend((f".{name}", "is not a known field") for name in unknown)
     elif len(unknown) > MAX_UNKNOWN_FIELDS:
-        _add_fault(faults, path, "has too many unknown fields")
+        found.append(("", "has too many unknown fields"))
     return unknown
 
 
-def _check(cls, field, type_name, value, path, strict, faults, depth):
-    if value is None and field.optional:
-        return None
+def _make_check(cls, field, type_name):
     container = _CONTAINER.match(type_name)
     if container:
-        return _check_container(
-            cls, field, container, value, path, strict, faults, depth
-        )
-    if type_name in cls.REFERENCES:
-        target = cls.REFERENCES[type_name]
-        return _build(target, value, path, strict, faults, depth + 1)
-    return _check_scalar(field, type_name, value, path, faults)
-
-
-def _check_container(cls, field, container, value, path, strict, faults, depth):
-    kind, inner = container.groups()
-    expected = list if kind == "list" else dict
-    if not isinstance(value, expected):
-        _add_fault(faults, path, f"must be a {'list' if kind == 'list' else 'table'}")
-        return None
-    if not _in_range(field, len(value), path, "has {} entries", faults):
-        return None
-    item_field = Field(field.name, inner, max=field.max if "[" in inner else None)
-    if kind == "list":
-        return [
-            _check(
-                cls, item_field, inner, item, f"{path}[{i}]", strict, faults, depth + 1
-            )
-            for i, item in enumerate(value)
-        ]
-    return {
-        key: _check(
-            cls, item_field, inner, item, f"{path}.{key}", strict, faults, depth + 1
-        )
-        for key, item in value.items()
-    }
+        kind, inner = container.groups()
+        item_field = Field(field.name, inner, max=field.max if "[" in inner else None)
+        make_container = _make_list_check if kind == "list" else _make_map_check
+        check = make_container(field, _make_check(cls, item_field, inner))
+    elif type_name in cls.REFERENCES:
+        check = _make_record_check(cls.REFERENCES[type_name])
+    else:
+        check = _make_scalar_check(field, type_name)
+    return _allow_none(field, check) if field.optional else check
+
+
+def _allow_none(field, check):
+    make_default = _make_default_function(field)
+
+    def check_optional(value, found, strict, depth):
+        if value is None:
+            return make_default(found)
+        return check(value, found, strict, depth)
+
+    return check_optional
+
+
+def _make_list_check(field, check_item):
+    low, high = _bounds(field, field.type)
+
+    def check_list(value, found, strict, depth):
+        if not isinstance(value, list):
+            found.append(("", "must be a list"))
+            return _INVALID
+        if not low <= len(value) <= high:
+            return _add_range_fault(field, len(value), "has {} entries", found)
+        start = end = len(found)
+        items = []
+        for item in value:
+            item = check_item(item, found, strict, depth + 1)
+            if item is _INVALID:
+                end = _prepend_step(found, end, f"[{len(items)}]")
+            items.append(item)
+        return items if end == start else _INVALID
+
+    return check_list
+
+
+def _make_map_check(field, check_item):
+    low, high = _bounds(field, field.type)
+
+    def check_map(value, found, strict, depth):
+        if not isinstance(value, dict):
+            found.append(("", "must be a table"))
+            return _INVALID
+        if not low <= len(value) <= high:
+            return _add_range_fault(field, len(value), "has {} entries", found)
+        start = end = len(found)
+        items = {}
+        for key, item in value.items():
+            item = check_item(item, found, strict, depth + 1)
+            if item is _INVALID:
+                end = _prepend_step(found, end, f".{key}")
+            items[key] = item
+        return items if end == start else _INVALID
+
+    return check_map
+
+
+def _make_scalar_check(field, type_name):
+    """Returns a check that accepts usual values at once and others by each rule."""
+    low, high = _bounds(field, type_name)
+    usual_type = _USUAL_TYPES[type_name]
+
+    def check_any(value, found, strict, depth):
+        return _check_scalar(field, type_name, value, found)
+
+    def check_number(value, found, strict, depth):
+        if type(value) is usual_type and low <= value <= high:
+            return value
+        return _check_scalar(field, type_name, value, found)
+
+    def check_length(value, found, strict, depth):
+        if type(value) is usual_type and low <= len(value) <= high:
+            return value
+        return _check_scalar(field, type_name, value, found)
+
+    if field.enum:
+        return check_any
+    return check_length if type_name in ("str", "bytes") else check_number
+
+
+def _bounds(field, type_name):
+    if type_name == "bool":
+        return False, True
+    limit = sys.float_info.max if type_name == "float" else math.inf
+    low = -limit if field.min is None else max(field.min, -limit)
+    return low, limit if field.max is None else min(field.max, limit)
 
 
-def _check_scalar(field, type_name, value, path, faults):
-    expected = _SCALARS[type_name]
-    if not isinstance(value, expected) or (
+def _check_scalar(field, type_name, value, found):
+    if not isinstance(value, _SCALARS[type_name]) or (
         isinstance(value, bool) and type_name != "bool"
     ):
-        _add_fault(faults, path, f"must be of type {type_name}")
-        return None
+        found.append(("", f"must be of type {type_name}"))
+        return _INVALID
     if field.enum and value not in field.enum:
-        _add_fault(faults, path, f"must be one of {', '.join(field.enum)}")
-        return None
-    if type_name in ("str", "bytes"):
-        ok = _in_range(field, len(value), path, "has length {}", faults)
-        return value if ok else None
+        found.append(("", f"must be one of {', '.join(field.enum)}"))
+        return _INVALID
     if type_name == "float":
         value = float(value)
-        if value != value or value in (float("inf"), float("-inf")):
-            _add_fault(faults, path, "must be a finite number")
-            return None
-    if type_name == "bool":
-        return value
-    return value if _in_range(field, value, path, "is {}", faults) else None
+        if not math.isfinite(value):
+            found.append(("", "must be a finite number"))
+            return _INVALID
+    low, high = _bounds(field, type_name)
+    if type_name in ("str", "bytes"):
+        if not low <= len(value) <= high:
+            return _add_range_fault(field, len(value), "has length {}", found)
+    elif not low <= value <= high:
+        return _add_range_fault(field, value, "is {}", found)
+    return value
 
 
-def _in_range(field, size, path, phrase, faults):
+def _add_range_fault(field, size, phrase, found):
     if field.min is not None and size < field.min:
-        _add_fault(
-            faults, path, f"{phrase.format(size)}; at least {field.min} is required"
-        )
-        return False
-    if field.max is not None and size > field.max:
-        _add_fault(
-            faults, path, f"{phrase.format(size)}; at most {field.max} is allowed"
-        )
-        return False
-    return True
+        bound = f"at least {field.min} is required"
+    else:
+        bound = f"at most {field.max} is allowed"
+    found.append(("", f"{phrase.format(size)}; {bound}"))
+    return _INVALID
