Read a number too large for a float as a fault

A weight of 10**400 in a document ended the conversion with OverflowError, which no caller of from_plain expects: the task that follows the store would have ended, and the instance would have kept the old view.

--- a/packages/model/src/flamingolift_model/record.py
+++ b/packages/model/src/flamingolift_model/record.py
@@ -418,6 +418,14 @@
     return low, limit if field.max is None else min(field.max, limit)
 
 
+def _to_float(value):
+    """Returns an integer or a float as a float, infinity when it is too large."""
+    try:
+        return float(value)
+    except OverflowError:
+        return math.inf
+
+
 def _check_scalar(field, type_name, value, found):
     if not isinstance(value, _SCALARS[type_name]) or (
         isinstance(value, bool) and type_name != "bool"
@@ -428,7 +436,7 @@
         found.append(("", f"must be one of {', '.join(field.enum)}"))
         return _INVALID
     if type_name == "float":
-        value = float(value)
+        value = _to_float(value)
         if not math.isfinite(value):
             found.append(("", "must be a finite number"))
             return _INVALID
