Receive a document from one peer at a time, in parts

Behind a link slower than a document per heartbeat timeout the document never came into force, and its sender was suspected and its stream closed again and again.

Cause: each heartbeat that named a newer number was answered with a pull, on every stream and again with each further heartbeat while the answer was under way. A document is one frame of up to 1 MB, so heartbeats waited behind every copy. A document that came again was decoded before its number was compared, and one that could not be applied was pulled again with each heartbeat.

Why it works: one task for each kind asks one peer for one part of 64 KiB, and for the next when it has arrived. Another peer is asked after 2 s or when the stream closes, and continues at the same offset if number, size and digest agree. A stream has at most one part of a kind outstanding, so a heartbeat waits behind 64 KiB for each kind and queues stay short. A higher number replaces the transfer. The digest is computed once for each document; the body is encoded once, by its author.

Versions: a pull without `part_bytes` is answered with the whole document, and a document without `size` is taken as whole, so both builds work side by side. Between an old and a new build one frame of 1 MB still delays heartbeats.

--- a/packages/daemon/src/flamingolift_daemon/distribution.py
+++ b/packages/daemon/src/flamingolift_daemon/distribution.py
@@ -14,7 +14,6 @@
 )
 from flamingolift_decisions.policyrules import compile_policy
 from flamingolift_decisions.shifts import advance_rows
-from flamingolift_model import peer
 from flamingolift_model.plan import LiveList, Plan
 from flamingolift_model.policy import PolicyHead
 from flamingolift_wire.codec import decode_document
@@ -24,14 +23,13 @@
 from flamingolift_daemon.instance import notify_change, refresh_view
 from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import send_message
+from flamingolift_daemon.transfers import receive_document, request_document
 
 __all__ = [
     "DOCUMENT_CLASSES",
     "apply_document",
     "handle_document",
     "handle_heartbeat",
-    "handle_pull",
     "run_membership",
     "run_shifts",
 ]
@@ -137,7 +135,7 @@
 
 
 def handle_heartbeat(instance, link, message, call_id):
-    """Applies a peer's membership changes and pulls its newer documents."""
+    """Applies a peer's membership changes and requests its newer documents."""
     now = instance.clock.now()
     changed = [apply_state(instance.view, state, now) for state in message.members]
     if any(changed):
@@ -148,25 +146,19 @@
         if kind in DOCUMENT_CLASSES and is_newer(
             instance.latest_documents, kind, number
         ):
-            held = instance.latest_documents.held.get(kind)
-            above = held.number if held else -1
-            send_message(link, peer.Pull(kind=kind, above=above))
-
-
-def handle_pull(instance, link, message, call_id):
-    """Sends a peer the document that it asked for, if this instance has a newer one."""
-    held = instance.latest_documents.held.get(message.kind)
-    if held is None or held.number <= message.above:
-        return
-    document = peer.Document(kind=message.kind, number=held.number, body=held.body)
-    count(instance.metrics, "documents.sent")
-    send_message(link, document)
+            request_document(instance, link, kind)
 
 
 def handle_document(instance, link, message, call_id):
-    """Applies a document that a peer sent, if it is newer."""
-    if message.kind in DOCUMENT_CLASSES:
-        apply_document(instance, message.kind, message.body, link.remote_id)
+    """Applies a document that a peer sent, if it is complete and newer."""
+    kind, number = message.kind, message.number
+    if kind not in DOCUMENT_CLASSES:
+        return
+    body = receive_document(instance, link, message)
+    if body is None or not is_newer(instance.latest_documents, kind, number):
+        return
+    if not apply_document(instance, kind, body, link.remote_id):
+        link.refused_numbers[kind] = number
 
 
 async def run_membership(instance, on_dead):
--- a/packages/daemon/src/flamingolift_daemon/instance.py
+++ b/packages/daemon/src/flamingolift_daemon/instance.py
@@ -52,6 +52,7 @@
         backoff_until: Map of an instance, or of (service, region), that refused or
             did not answer to the end of its back-off (s, monotonic).
         tasks: Set of background tasks.
+        transfers: Map of document kind to the Transfer that receives it from peers.
         in_flight: Number of callers' requests in flight.
         stopping: Event set at a planned stop.
         refusing: Whether new requests are refused, in the last phase of a drain.
@@ -96,6 +97,7 @@
         "streams",
         "tasks",
         "ticket_keys",
+        "transfers",
         "view",
     )
 
@@ -146,6 +148,7 @@
         self.samples = {}
         self.backoff_until = {}
         self.tasks = set()
+        self.transfers = {}
         self.in_flight = 0
         self.stopping = asyncio.Event()
         self.refusing = False
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -62,6 +62,10 @@
         call_ids: Iterator of call ids.
         cursor: Sequence up to which membership changes were sent to the peer.
         remote_versions: Document numbers that the peer announced.
+        pulling: Map of document kind to the number that the peer was asked for and
+            has not yet sent.
+        refused_numbers: Map of document kind to the number of the last document from
+            this peer that could not be applied; it is not asked for again.
         heard_at: Time of its last frame (s, monotonic).
         sent_bytes: Bytes sent and not yet counted.
         closed: Future that completes when the stream is closed.
@@ -74,8 +78,10 @@
         "cursor",
         "heard_at",
         "late",
+        "pulling",
         "reader",
         "receiving",
+        "refused_numbers",
         "remote_id",
         "remote_incarnation",
         "remote_versions",
@@ -96,6 +102,8 @@
         self.call_ids = itertools.count(1)
         self.cursor = 0
         self.remote_versions = {}
+        self.pulling = {}
+        self.refused_numbers = {}
         self.heard_at = now
         self.sent_bytes = 0
         self.closed = asyncio.get_running_loop().create_future()
--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -18,6 +18,7 @@
     heartbeats,
     peerlinks,
     relay,
+    transfers,
 )
 from flamingolift_daemon.backendclient import BackendClients, close_clients
 from flamingolift_daemon.callerapi import make_caller_app
@@ -67,7 +68,7 @@
     )
     instance.handlers = {
         peer.Heartbeat: distribution.handle_heartbeat,
-        peer.Pull: distribution.handle_pull,
+        peer.Pull: transfers.handle_pull,
         peer.Document: distribution.handle_document,
         peer.Acquire: dispatching.handle_acquire,
         peer.Release: dispatching.handle_release,
--- a/packages/model/src/flamingolift_model/peer.py
+++ b/packages/model/src/flamingolift_model/peer.py
@@ -135,13 +135,19 @@
     Attributes:
         kind: Document kind.
         above: Number already held.
+        part_bytes: Longest part that the sender takes (bytes); 0 for the whole document.
+        number: Document number that the offset belongs to; another one is sent from its start.
+        offset: Start of the part within the encoded document (bytes).
     """
 
-    __slots__ = ("above", "kind")
+    __slots__ = ("above", "kind", "number", "offset", "part_bytes")
     TAG = 3
     FIELDS = (
         Field("kind", "str", max=32),
         Field("above", "int", min=-1),
+        Field("part_bytes", "int", default=0, min=0, max=1048576),
+        Field("number", "int", default=-1, min=-1),
+        Field("offset", "int", default=0, min=0, max=1048576),
     )
 
     def __init__(
@@ -149,27 +155,39 @@
         *,
         kind,
         above,
+        part_bytes=0,
+        number=-1,
+        offset=0,
     ):
         super().__init__()
         self.kind = kind
         self.above = above
+        self.part_bytes = part_bytes
+        self.number = number
+        self.offset = offset
 
 
 class Document(Record):
-    """One numbered document.
+    """One numbered document, or a part of one.
 
     Attributes:
         kind: Document kind.
         number: Document number.
-        body: Encoded document (msgpack).
+        body: Encoded document (msgpack), or a part of it.
+        offset: Start of the part within the encoded document (bytes).
+        size: Size of the encoded document (bytes); 0 when the body is the whole document.
+        digest: Digest of the encoded document, by which its parts are told from those of another one; empty when the body is the whole document.
     """
 
-    __slots__ = ("body", "kind", "number")
+    __slots__ = ("body", "digest", "kind", "number", "offset", "size")
     TAG = 4
     FIELDS = (
         Field("kind", "str", max=32),
         Field("number", "int", min=0),
         Field("body", "bytes", max=1048576),
+        Field("offset", "int", default=0, min=0, max=1048576),
+        Field("size", "int", default=0, min=0, max=1048576),
+        Field("digest", "str", default="", max=64),
     )
 
     def __init__(
@@ -178,11 +196,17 @@
         kind,
         number,
         body,
+        offset=0,
+        size=0,
+        digest="",
     ):
         super().__init__()
         self.kind = kind
         self.number = number
         self.body = body
+        self.offset = offset
+        self.size = size
+        self.digest = digest
 
 
 class Acquire(Record):
