Send a whole document once on a stream

Callers saw: during a change of builds, an instance of the older build behind a slow link kept its old policy, plan or live list.

Cause: the older build pulls with each heartbeat until the document has arrived, and each pull was answered with one more copy behind the first one, until the backlog limit closed the stream.

Evidence: five pulls of a live list of 866,039 bytes on one stream; 1,982,737 bytes had crossed a link of 10 Mbit/s one second after the first copy was in force, with more queued. The test failed so and passes now.

Why it works: a stream delivers in order or closes, so a copy that was sent on it needs no second one. The number sent is kept with the stream and ends with it.

--- a/integration/test_large_documents.py
+++ b/integration/test_large_documents.py
@@ -275,3 +275,16 @@
     assert total(site, "x", "documents.refused.live") == 1
     sent = sum(link.sent for link in site.links.values())
     assert sent < 2.4 * len(make_live_list(1))
+
+
+# Guards against a slow peer of an older build that asks again with each heartbeat.
+async def test_whole_document_is_sent_once_on_a_stream(site):
+    await start_instances(site, ["a", "x"], FAST_BYTES_PER_S)
+    apply_live(site, "a", 1)
+    site.instances["x"].handlers[peer.Heartbeat] = lambda *args: None
+    link = await connect(site, "x", "a")
+    for _ in range(5):
+        peerlinks.send_message(link, peer.Pull(kind="live", above=-1))
+    await wait_for(lambda: live_number(site, "x") == 1)
+    await asyncio.sleep(1.0)
+    assert site.links["a"].sent < 1.2 * len(make_live_list(1))
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -66,6 +66,8 @@
             has not yet sent.
         refused_numbers: Map of document kind to the number of the last document from
             this peer that could not be applied; it is not asked for again.
+        sent_numbers: Map of document kind to the number of the last document that was
+            sent whole.
         heard_at: Time of its last frame (s, monotonic).
         sent_bytes: Bytes sent and not yet counted.
         closed: Future that completes when the stream is closed.
@@ -87,6 +89,7 @@
         "remote_versions",
         "sending",
         "sent_bytes",
+        "sent_numbers",
         "writer",
     )
 
@@ -104,6 +107,7 @@
         self.remote_versions = {}
         self.pulling = {}
         self.refused_numbers = {}
+        self.sent_numbers = {}
         self.heard_at = now
         self.sent_bytes = 0
         self.closed = asyncio.get_running_loop().create_future()
--- a/packages/daemon/src/flamingolift_daemon/transfers.py
+++ b/packages/daemon/src/flamingolift_daemon/transfers.py
@@ -221,14 +221,21 @@
 
 
 def handle_pull(instance, link, message, call_id):
-    """Sends a peer the document that it asked for, or a part of it."""
+    """Sends a peer the document that it asked for, or a part of it.
+
+    A peer that does not take parts gets a document once on a stream, however often it
+    asks: the stream delivers it or closes.
+    """
     held = instance.latest_documents.held.get(message.kind)
     if held is None or held.number <= message.above:
         return
     if message.part_bytes:
         document = _make_part(held, message)
+    elif held.number <= link.sent_numbers.get(message.kind, -1):
+        return
     else:
         document = peer.Document(kind=message.kind, number=held.number, body=held.body)
+        link.sent_numbers[message.kind] = held.number
     if document.offset == 0:
         count(instance.metrics, "documents.sent")
     send_message(link, document)
