Bound the peers to which a document is sent at the same time

Callers saw: a failure domain whose instances all kept the old policy, plan or live list until the relay's link had carried a copy for each of them.

Cause: whoever had the document first answered every peer at once, and all copies became complete at the same moment. No follower had one that others could take in between.

Why it works: an instance sends the parts of documents to four peers at a time, in the order of their pulls; one task for each upload ends with the last part, with the stream, when the peer has the document, or after 2 s without a pull. Documents of up to one part wait for nobody.

An answer to a withdrawn pull no longer counts as the answer to the next one: the offset has to match too.

--- a/integration/test_large_documents.py
+++ b/integration/test_large_documents.py
@@ -6,6 +6,7 @@
 
 import pytest
 from flamingolift_daemon import distribution, heartbeats, peerlinks
+from flamingolift_daemon.instance import MAX_UPLOADS
 from flamingolift_daemon.wiring import make_instance, serve_peers
 from flamingolift_decisions.documents import offer_document
 from flamingolift_model import peer
@@ -30,6 +31,7 @@
 (bytes/s)."""
 WAIT_S = 20.0
 ENTRIES = 2_000
+FOLLOWERS = 16
 
 
 class Site:
@@ -288,3 +290,20 @@
     await wait_for(lambda: live_number(site, "x") == 1)
     await asyncio.sleep(1.0)
     assert site.links["a"].sent < 1.2 * len(make_live_list(1))
+
+
+# Guards against a peer whose link carries a copy for each of its followers, although
+# they could get it from each other.
+async def test_followers_take_a_document_from_each_other(site):
+    names = [f"x{n}" for n in range(FOLLOWERS)]
+    await start_instances(site, ["a", *names], FAST_BYTES_PER_S)
+    for number, name in enumerate(names):
+        await connect(site, name, "a")
+        for step in (3, 7):
+            await connect(site, name, names[(number + step) % FOLLOWERS])
+    apply_live(site, "a", 1)
+    await wait_for(lambda: all(live_number(site, name) == 1 for name in names))
+    print("sent by the first:", site.links["a"].sent, "bytes")
+    # Each follower has a link to four others, so few are left after two rounds.
+    assert site.links["a"].sent <= (3 * MAX_UPLOADS + 0.5) * len(make_live_list(1))
+    assert not any(total(site, name, "peer.silent_streams") for name in names)
--- a/packages/daemon/src/flamingolift_daemon/instance.py
+++ b/packages/daemon/src/flamingolift_daemon/instance.py
@@ -11,6 +11,10 @@
 
 __all__ = ["Instance", "notify_change", "refresh_view", "self_entry", "start_task"]
 
+MAX_UPLOADS = 4
+"""Peers to which parts of a document are sent at the same time. Others wait, and can
+get it meanwhile from those that have received it."""
+
 
 class Instance:
     """State of one instance, created by the composition root in `wiring`.
@@ -24,6 +28,7 @@
         operator_keys: KeyRing for operators.
         store: StoreClient.
         incarnation: Number of this process start, larger than those of earlier ones.
+        upload_slots: asyncio.Semaphore of the uploads of documents to peers.
         view: Membership.
         serving: Map of instance to InstanceEntry, of those that get new requests.
         by_site: Map of site to the list of InstanceEntry in `serving`.
@@ -98,6 +103,7 @@
         "tasks",
         "ticket_keys",
         "transfers",
+        "upload_slots",
         "view",
     )
 
@@ -149,6 +155,7 @@
         self.backoff_until = {}
         self.tasks = set()
         self.transfers = {}
+        self.upload_slots = asyncio.Semaphore(MAX_UPLOADS)
         self.in_flight = 0
         self.stopping = asyncio.Event()
         self.refusing = False
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -62,10 +62,11 @@
         call_ids: Iterator of call ids.
         cursor: Sequence up to which membership changes were sent to the peer.
         remote_versions: Document numbers that the peer announced.
-        pulling: Map of document kind to the number that the peer was asked for and
-            has not yet sent.
+        pulling: Map of document kind to the (number, offset) that the peer was asked
+            for and has not yet sent.
         refused_numbers: Map of document kind to the number of the last document from
             this peer that could not be applied; it is not asked for again.
+        uploads: Map of document kind to the Upload to this peer.
         sent_numbers: Map of document kind to the number of the last document that was
             sent whole.
         heard_at: Time of its last frame (s, monotonic).
@@ -90,6 +91,7 @@
         "sending",
         "sent_bytes",
         "sent_numbers",
+        "uploads",
         "writer",
     )
 
@@ -106,6 +108,7 @@
         self.cursor = 0
         self.remote_versions = {}
         self.pulling = {}
+        self.uploads = {}
         self.refused_numbers = {}
         self.sent_numbers = {}
         self.heard_at = now
--- a/packages/daemon/src/flamingolift_daemon/transfers.py
+++ b/packages/daemon/src/flamingolift_daemon/transfers.py
@@ -19,7 +19,9 @@
 """Longest part of a document in one frame (bytes). The next heartbeat on a stream
 waits behind at most one part of each kind of document."""
 PART_TIMEOUT_S = 2.0
-"""Time after which another peer is asked for the next part (s)."""
+"""Time after which another peer is asked for the next part, and after which an upload
+ends whose receiver asks for no further part (s)."""
+_NOT_PULLING = (-1, 0)
 CACHED_DIGESTS = 3
 """Digests kept: one for each kind of document."""
 
@@ -46,6 +48,21 @@
         _restart(self, -1)
 
 
+class Upload:
+    """A document that is being sent to a peer.
+
+    Attributes:
+        pull: Last Pull of the peer.
+        asked: Future that completes when the peer asks for a part.
+    """
+
+    __slots__ = ("asked", "pull")
+
+    def __init__(self, pull):
+        self.pull = pull
+        self.asked = asyncio.get_running_loop().create_future()
+
+
 def _restart(transfer, number):
     transfer.number = number
     transfer.size = 0
@@ -53,9 +70,9 @@
     transfer.data = bytearray()
 
 
-def _wake(transfer):
-    if not transfer.changed.done():
-        transfer.changed.set_result(None)
+def _complete(future):
+    if not future.done():
+        future.set_result(None)
 
 
 def _held_number(instance, kind):
@@ -74,7 +91,7 @@
         transfer = instance.transfers[kind] = Transfer(kind)
         start_task(instance, _run_transfer(instance, transfer))
     elif transfer.link is None or link.remote_versions[kind] > transfer.number:
-        _wake(transfer)
+        _complete(transfer.changed)
 
 
 def _find_sources(instance, kind):
@@ -107,7 +124,7 @@
     idle = {
         link.remote_id: link
         for link in sources
-        if link.pulling.get(transfer.kind, -1) <= held_number
+        if link.pulling.get(transfer.kind, _NOT_PULLING)[0] <= held_number
     }
     if transfer.link in idle.values():
         return transfer.link
@@ -116,6 +133,14 @@
 
 
 def _send_pull(instance, transfer, link):
+    """Asks a peer for the next part, and withdraws what other peers still owe."""
+    for other in instance.streams:
+        if other is not link and other.pulling.pop(transfer.kind, None):
+            # Nothing newer is wanted, so the peer ends its upload.
+            withdrawal = peer.Pull(
+                kind=transfer.kind, above=transfer.number, part_bytes=PART_BYTES
+            )
+            send_message(other, withdrawal)
     pull = peer.Pull(
         kind=transfer.kind,
         above=_held_number(instance, transfer.kind),
@@ -123,7 +148,7 @@
         number=transfer.number,
         offset=len(transfer.data),
     )
-    link.pulling[transfer.kind] = transfer.number
+    link.pulling[transfer.kind] = (pull.number, pull.offset)
     send_message(link, pull)
 
 
@@ -181,7 +206,9 @@
     Returns:
         Encoded form of the whole document (bytes), or None while parts are missing.
     """
-    if message.number >= link.pulling.get(message.kind, -1):
+    asked = link.pulling.get(message.kind, _NOT_PULLING)
+    is_answer = message.number > asked[0] or (message.number, message.offset) == asked
+    if is_answer:
         link.pulling.pop(message.kind, None)
     transfer = instance.transfers.get(message.kind)
     body = None
@@ -189,8 +216,8 @@
         body = message.body
     elif transfer is not None:
         body = _add_part(transfer, link, message)
-    if transfer is not None and (body or transfer.link in (link, None)):
-        _wake(transfer)
+    if transfer is not None and (body or (is_answer and transfer.link in (link, None))):
+        _complete(transfer.changed)
     return body
 
 
@@ -221,14 +248,23 @@
 
 
 def handle_pull(instance, link, message, call_id):
-    """Sends a peer the document that it asked for, or a part of it.
+    """Sends a peer the document that it asked for, or starts to send its parts.
 
     A peer that does not take parts gets a document once on a stream, however often it
     asks: the stream delivers it or closes.
     """
+    upload = link.uploads.get(message.kind)
+    if upload is not None:
+        upload.pull = message
+        _complete(upload.asked)
+        return
     held = instance.latest_documents.held.get(message.kind)
     if held is None or held.number <= message.above:
         return
+    if message.part_bytes and len(held.body) > message.part_bytes:
+        upload = link.uploads[message.kind] = Upload(message)
+        start_task(instance, _run_upload(instance, link, upload))
+        return
     if message.part_bytes:
         document = _make_part(held, message)
     elif held.number <= link.sent_numbers.get(message.kind, -1):
@@ -236,16 +272,44 @@
     else:
         document = peer.Document(kind=message.kind, number=held.number, body=held.body)
         link.sent_numbers[message.kind] = held.number
-    if document.offset == 0:
-        count(instance.metrics, "documents.sent")
+    count(instance.metrics, "documents.sent")
     send_message(link, document)
 
 
+async def _run_upload(instance, link, upload):
+    """Sends a peer one part after the other as it asks for them.
+
+    Ends with the last part, when the peer has the document from elsewhere or asks for
+    no further part within `PART_TIMEOUT_S`, or when the stream closes.
+    """
+    kind = upload.pull.kind
+    try:
+        async with instance.upload_slots:
+            while not link.closed.done():
+                held = instance.latest_documents.held[kind]
+                above = max(upload.pull.above, link.remote_versions.get(kind, -1))
+                if held.number <= above:
+                    return
+                part = _make_part(held, upload.pull)
+                upload.asked = asyncio.get_running_loop().create_future()
+                send_message(link, part)
+                if part.offset + len(part.body) >= part.size:
+                    count(instance.metrics, "documents.sent")
+                    return
+                await asyncio.wait(
+                    [upload.asked, link.closed],
+                    timeout=PART_TIMEOUT_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not upload.asked.done():
+                    return
+    finally:
+        del link.uploads[kind]
+
+
 def _make_part(held, message):
     """Returns the part that a peer asked for, or the first one of a newer document."""
     offset = message.offset if message.number == held.number else 0
-    if offset >= len(held.body):
-        offset = 0
     return peer.Document(
         kind=message.kind,
         number=held.number,
