Withdraw a pull whose document came from elsewhere

Callers saw: nothing yet; peers that waited for a document would have waited up to 2 s longer for each instance that had got it from the store or from another peer.

Cause: an upload waited for its receiver's next pull until the 2 s were over, and kept its place among the four.

Evidence: an instance that receives a document from a peer and gets it from elsewhere in between; its upload was still open 1 s later. The test failed so and passes now.

Why it works: a receiver that is done, or turns to another peer, tells every peer that it asked that it wants nothing newer than this document, and the upload ends at once.

A stream to the present source is no longer given up for a second one to the same peer.

--- a/integration/test_large_documents.py
+++ b/integration/test_large_documents.py
@@ -7,6 +7,7 @@
 import pytest
 from flamingolift_daemon import distribution, heartbeats, peerlinks
 from flamingolift_daemon.instance import MAX_UPLOADS
+from flamingolift_daemon.transfers import PART_TIMEOUT_S
 from flamingolift_daemon.wiring import make_instance, serve_peers
 from flamingolift_decisions.documents import offer_document
 from flamingolift_model import peer
@@ -307,3 +308,14 @@
     # Each follower has a link to four others, so few are left after two rounds.
     assert site.links["a"].sent <= (3 * MAX_UPLOADS + 0.5) * len(make_live_list(1))
     assert not any(total(site, name, "peer.silent_streams") for name in names)
+
+
+# Guards against peers that wait for an upload whose receiver has the document already.
+async def test_upload_ends_when_the_document_comes_from_elsewhere(site):
+    await start_instances(site, ["a", "x"], SLOW_BYTES_PER_S)
+    await connect(site, "x", "a")
+    apply_live(site, "a", 1)
+    await wait_for(lambda: site.links["a"].sent > 100_000)
+    apply_live(site, "x", 1)
+    streams = site.instances["a"].streams
+    await wait_for(lambda: not any(s.uploads for s in streams), PART_TIMEOUT_S / 2)
--- a/packages/daemon/src/flamingolift_daemon/transfers.py
+++ b/packages/daemon/src/flamingolift_daemon/transfers.py
@@ -121,26 +121,41 @@
     or it closes. The present source is kept while it answers.
     """
     held_number = _held_number(instance, transfer.kind)
-    idle = {
-        link.remote_id: link
+    idle = [
+        link
         for link in sources
         if link.pulling.get(transfer.kind, _NOT_PULLING)[0] <= held_number
-    }
-    if transfer.link in idle.values():
+    ]
+    if transfer.link in idle:
         return transfer.link
-    names = rendezvous_order(f"pull|{instance.cfg.instance_id}", list(idle))
-    return idle[names[0]] if names else None
+    by_name = {link.remote_id: link for link in idle}
+    names = rendezvous_order(f"pull|{instance.cfg.instance_id}", list(by_name))
+    return by_name[names[0]] if names else None
+
+
+def _withdraw_pulls(instance, transfer, source, former):
+    """Ends the uploads of all peers but the source, so that they can serve others.
+
+    Args:
+        instance: Instance.
+        transfer: Transfer.
+        source: PeerLink that is asked next, or None.
+        former: PeerLink that was asked last and sends more when asked, or None.
+    """
+    # A peer ends an upload when nothing newer than its document is asked for.
+    withdrawal = peer.Pull(
+        kind=transfer.kind,
+        above=max(transfer.number, _held_number(instance, transfer.kind)),
+        part_bytes=PART_BYTES,
+    )
+    for link in list(instance.streams):
+        if link is source:
+            continue
+        if link.pulling.pop(transfer.kind, None) or link is former:
+            send_message(link, withdrawal)
 
 
 def _send_pull(instance, transfer, link):
-    """Asks a peer for the next part, and withdraws what other peers still owe."""
-    for other in instance.streams:
-        if other is not link and other.pulling.pop(transfer.kind, None):
-            # Nothing newer is wanted, so the peer ends its upload.
-            withdrawal = peer.Pull(
-                kind=transfer.kind, above=transfer.number, part_bytes=PART_BYTES
-            )
-            send_message(other, withdrawal)
     pull = peer.Pull(
         kind=transfer.kind,
         above=_held_number(instance, transfer.kind),
@@ -162,12 +177,16 @@
         while True:
             number, sources = _find_sources(instance, transfer.kind)
             if not sources:
+                former = transfer.link if transfer.data else None
+                _withdraw_pulls(instance, transfer, None, former)
                 return
             if number != transfer.number:
                 _restart(transfer, number)
+            former = transfer.link
             transfer.link = _choose_source(instance, transfer, sources)
             transfer.changed = asyncio.get_running_loop().create_future()
             if transfer.link is not None:
+                _withdraw_pulls(instance, transfer, transfer.link, former)
                 _send_pull(instance, transfer, transfer.link)
                 sources = [transfer.link]
             done, _ = await asyncio.wait(
