Give up a server whose bytes cannot become a response

What callers saw: a backend server that sent informational responses, or a response to another request, without end held a request until the route's timeout; the caller got 504 although the request was idempotent and another server was sound. The same with bytes that are no response when they came slowly.

Cause: the head of a response was bounded by 64 KiB, but the number of informational responses and the body of a skipped response were not. Bytes that are no response were noticed at the end of their first block of lines or after 64 KiB, which a trickle does not reach.

Change: at most 16 informational responses precede a response, at most 4 MiB of other responses are skipped, and the first bytes must begin a status line. Each breach is an invalid response: the connection is closed, the send counts as lost, and an idempotent request goes to another server.

Endless header lines and one endless header line were bounded before, and still are. A trickle that begins as a valid head cannot be told from a slow server; it ends with 504 at the route's timeout, or earlier by the attempt timeout.

--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -23,7 +23,13 @@
 Larger ones are streamed, and their requests are not retried."""
 MAX_SKIPPED_RESPONSES = 4
 """Responses to other requests that are skipped on one connection."""
+MAX_SKIPPED_BYTES = MAX_SKIPPED_RESPONSES * SPOOL_BYTES
+"""Body bytes of such responses that are read on one connection (bytes). Reading more
+takes longer than a new connection."""
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Informational responses (1xx) that are read before a response."""
 
+_STATUS_LINE_START = b"HTTP/1."
 _HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -69,16 +75,27 @@
         stream: ByteStream.
         parser: h11 connection.
         request: h11 request, kept to parse further responses.
+        informational: Number of informational responses that were read.
         skipped: Number of responses to other requests that were skipped.
+        skipped_bytes: Size of their bodies (bytes).
     """
 
-    __slots__ = ("parser", "request", "skipped", "stream")
+    __slots__ = (
+        "informational",
+        "parser",
+        "request",
+        "skipped",
+        "skipped_bytes",
+        "stream",
+    )
 
     def __init__(self, stream, parser, request):
         self.stream = stream
         self.parser = parser
         self.request = request
+        self.informational = 0
         self.skipped = 0
+        self.skipped_bytes = 0
 
 
 def header(headers, name, default=None):
@@ -152,9 +169,18 @@
             raise InvalidResponseError(str(exc)) from exc
         if event is not h11.NEED_DATA:
             return event
+        if call.parser.their_state is h11.SEND_RESPONSE:
+            _check_status_line_start(call.parser.trailing_data[0])
         call.parser.receive_data(await bytestream.read(call.stream))
 
 
+def _check_status_line_start(received):
+    """Rejects bytes that cannot become a response, without waiting for a line end."""
+    start = received[: len(_STATUS_LINE_START)]
+    if not _STATUS_LINE_START.startswith(start):
+        raise InvalidResponseError(f"no status line: {start!r}")
+
+
 async def _read_head(call):
     while True:
         event = await _next_event(call)
@@ -162,6 +188,9 @@
             return event
         if not isinstance(event, h11.InformationalResponse):
             raise InvalidResponseError("the connection ended without a response")
+        call.informational += 1
+        if call.informational > MAX_INFORMATIONAL_RESPONSES:
+            raise InvalidResponseError("too many informational responses")
 
 
 async def read_response(call, matches, spool_bytes=SPOOL_BYTES):
@@ -227,8 +256,10 @@
     call.skipped += 1
     if call.skipped > MAX_SKIPPED_RESPONSES:
         raise InvalidResponseError("too many responses to other requests")
-    async for _chunk in iter_body(call):
-        pass
+    async for chunk in iter_body(call):
+        call.skipped_bytes += len(chunk)
+        if call.skipped_bytes > MAX_SKIPPED_BYTES:
+            raise InvalidResponseError("a response to another request is too large")
     rest, closed = call.parser.trailing_data
     call.parser, _unsent = _new_parser(_without_body(call.request), b"")
     if rest:
--- /dev/null
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -0,0 +1,218 @@
+"""A front in this process, in front of a backend server that sends without end."""
+
+import asyncio
+import contextlib
+import os
+
+from flamingolift_decisions import backends, routetable
+from flamingolift_front import bytestream, callers
+from flamingolift_front.eventlog import EventLog
+from flamingolift_front.frontmetrics import FrontMetrics
+from flamingolift_front.state import Front
+from flamingolift_model.frontsettings import FrontSettings, HeaderNames
+from flamingolift_model.plan import BackendEntry
+from flamingolift_model.routing import (
+    Route,
+    RoutingPolicy,
+    ServiceSpec,
+    WeightedService,
+)
+
+ROUTE_TIMEOUT_S = 1.0
+DEADLINE_S = 2.0
+FAILED, SOUND = "failed", "sound"
+SOUND_BODY = b"the whole body"
+PIECE_BYTES = 1 << 16
+TRICKLE_S = 0.02
+WAIT_S = 10.0
+"""Longest wait for what has no bound of its own (s)."""
+
+
+class TroubledServer:
+    """Backend server that sends what a script yields.
+
+    Attributes:
+        port: TCP port.
+        server: asyncio server.
+        script: Function of the request id that returns an iterable of bytes.
+        pause_s: Pause after each piece (s).
+        requests: Number of requests received.
+        closed: Event that is set when a caller has closed its connection.
+    """
+
+    __slots__ = ("closed", "pause_s", "port", "requests", "script", "server")
+
+    def __init__(self, script, pause_s):
+        self.script = script
+        self.pause_s = pause_s
+        self.requests = 0
+        self.closed = asyncio.Event()
+        self.port = 0
+        self.server = None
+
+
+async def start_server(script, pause_s=0.0):
+    state = TroubledServer(script, pause_s)
+
+    async def serve(reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        state.requests += 1
+        pairs = (line.partition(": ") for line in head.split("\r\n"))
+        fields = {name.lower(): value for name, _, value in pairs}
+        with contextlib.suppress(ConnectionError):
+            for piece in state.script(fields["request-id"].encode()):
+                writer.write(piece)
+                await writer.drain()
+                if writer.transport.is_closing():
+                    break
+                await asyncio.sleep(state.pause_s)
+            await reader.read()
+        state.closed.set()
+        writer.transport.abort()
+
+    state.server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    state.port = state.server.sockets[0].getsockname()[1]
+    return state
+
+
+def head(request_id, *fields):
+    lines = [b"HTTP/1.1 200 OK", b"request-id: " + request_id, *fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def forever(start, piece):
+    yield start
+    while True:
+        yield piece
+
+
+def sound(request_id):
+    length = b"content-length: %d" % len(SOUND_BODY)
+    yield head(request_id, length) + SOUND_BODY
+
+
+CHUNK = b"%x\r\n" % PIECE_BYTES + bytes(PIECE_BYTES) + b"\r\n"
+CHUNKED = b"transfer-encoding: chunked"
+
+
+def make_front(ports):
+    cfg = FrontSettings(
+        instance_id="front-1",
+        region="r",
+        failure_domain="d",
+        host="127.0.0.1",
+        caller_port=1,
+        ready_port=1,
+        lookup_port=1,
+        peer_port=1,
+        domain_regions={"d": "r"},
+        retry_extra=100,
+    )
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "front-1")
+    front = Front(cfg, HeaderNames(), None, log, FrontMetrics())
+    front.started_at -= 100.0
+    route = Route(
+        name="maps",
+        host="h",
+        prefix="/",
+        services=[WeightedService(service="maps", weight=1.0)],
+        idempotent=True,
+        timeout_ms=ROUTE_TIMEOUT_S * 1000.0,
+        max_attempts=3,
+    )
+    policy = RoutingPolicy(
+        number=1, routes=[route], services=[ServiceSpec(name="maps")]
+    )
+    front.view.table = routetable.build_route_table(policy)
+    for server_id, port in ports.items():
+        # The server in trouble is nearer, so that it is tried first.
+        entry = BackendEntry(
+            server_id=server_id,
+            service="maps",
+            region="r" if server_id == FAILED else "other",
+            failure_domain="d",
+            host="127.0.0.1",
+            port=port,
+            slots=3,
+        )
+        backends.apply_entry(front.view.backends, entry, 0.0)
+    return front
+
+
+class Site:
+    """A front with its listener and the servers behind it.
+
+    Attributes:
+        front: Front.
+        port: TCP port for callers.
+        failed: TroubledServer.
+        sound: TroubledServer that sends a complete response, or None.
+    """
+
+    __slots__ = ("failed", "front", "port", "sound")
+
+
+@contextlib.asynccontextmanager
+async def run_site(script, pause_s=0.0, with_sound=True):
+    site = Site()
+    site.failed = await start_server(script, pause_s)
+    site.sound = await start_server(sound) if with_sound else None
+    servers = [s for s in (site.failed, site.sound) if s is not None]
+    names = (FAILED, SOUND)
+    site.front = make_front(
+        {name: s.port for name, s in zip(names, servers, strict=False)}
+    )
+    listener = await asyncio.get_running_loop().create_server(
+        lambda: bytestream.ByteStream(
+            lambda stream: callers.accept_caller(site.front, stream)
+        ),
+        "127.0.0.1",
+        0,
+    )
+    site.port = listener.sockets[0].getsockname()[1]
+    try:
+        yield site
+    finally:
+        listener.close()
+        tasks = [conn.task for conn in site.front.connections]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for server in servers:
+            server.server.close()
+
+
+async def open_request(site, number=1, version="1.1", deadline_s=DEADLINE_S):
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    writer.write(
+        f"GET /a HTTP/{version}\r\nHost: h\r\nRequest-Id: q{number}\r\n"
+        f"Request-Deadline-Ms: {int(deadline_s * 1000)}\r\n"
+        "Connection: close\r\n\r\n".encode()
+    )
+    return reader, writer
+
+
+async def read_to_end(reader):
+    """Returns what arrived, and whether the connection was reset."""
+    data = bytearray()
+    try:
+        while piece := await reader.read(1 << 20):
+            data += piece
+            del data[PIECE_BYTES:-PIECE_BYTES]
+    except ConnectionError:
+        return bytes(data), True
+    return bytes(data), False
+
+
+async def fetch(site, **options):
+    reader, writer = await open_request(site, **options)
+    try:
+        async with asyncio.timeout(DEADLINE_S + WAIT_S):
+            return await read_to_end(reader)
+    finally:
+        writer.transport.abort()
+
+
+async def wait_closed(server):
+    async with asyncio.timeout(WAIT_S):
+        await server.closed.wait()
