Let other requests run while tiny chunks are parsed

What callers saw: all requests of an instance stood still while the buffer of one connection was parsed.

Cause: the parser's loop waits only when its buffer is empty, so all pieces of a full buffer were parsed without returning to the event loop.

Change: after every 32 parsed pieces the event loop runs its other tasks.

Evidence: the new test counts the turns of another task while 4096 chunks are parsed: none before, at least one for each 32 chunks now.

--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 client: one request and its response on a connection."""
 
+import asyncio
+
 import h11
 
 from flamingolift_front import bytestream
@@ -28,6 +30,9 @@
 takes longer than a new connection."""
 MAX_INFORMATIONAL_RESPONSES = 16
 """Informational responses (1xx) that are read before a response."""
+EVENTS_PER_TURN = 32
+"""Parsed pieces of responses after which other tasks of the event loop run: about
+half a millisecond of work. A buffer holds tens of thousands of tiny chunks."""
 
 _STATUS_LINE_START = b"HTTP/1."
 _HOP_HEADERS = frozenset(
@@ -75,12 +80,14 @@
         stream: ByteStream.
         parser: h11 connection.
         request: h11 request, kept to parse further responses.
+        events: Number of pieces of responses that were parsed.
         informational: Number of informational responses that were read.
         skipped: Number of responses to other requests that were skipped.
         skipped_bytes: Size of their bodies (bytes).
     """
 
     __slots__ = (
+        "events",
         "informational",
         "parser",
         "request",
@@ -93,6 +100,7 @@
         self.stream = stream
         self.parser = parser
         self.request = request
+        self.events = 0
         self.informational = 0
         self.skipped = 0
         self.skipped_bytes = 0
@@ -162,6 +170,9 @@
 
 
 async def _next_event(call):
+    call.events += 1
+    if call.events % EVENTS_PER_TURN == 0:
+        await asyncio.sleep(0)
     while True:
         try:
             event = call.parser.next_event()
--- a/packages/front/src/flamingolift_front/tests/test_endless_heads.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_heads.py
@@ -105,3 +105,22 @@
         await asyncio.sleep(0)
         call.stream.data_received(bytes([byte]))
     assert (await reading).body == b"ok"
+
+
+# Guards against one connection that occupies the event loop with tiny chunks.
+async def test_event_loop_runs_other_tasks_while_tiny_chunks_are_parsed():
+    chunks = 4096
+    data = head(b"q", CHUNKED) + b"1\r\na\r\n" * chunks + b"0\r\n\r\n"
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    counter = asyncio.create_task(count_turns())
+    response = await httpcall.read_response(make_call(data), accept_any)
+    counter.cancel()
+    assert response.body == b"a" * chunks
+    assert turns >= chunks // httpcall.EVENTS_PER_TURN
