Reset the caller's connection when a streamed response breaks off

What callers saw: a streamed response that broke off ended with an ordinary end of file. For an HTTP/1.0 caller and a response without a length that end is the end of the body, so an incomplete response looked complete. A reset by the server was besides logged as a loss of the caller (caller_lost) and not as answer_cut.

Cause: `transport.abort` discards what is queued and closes the socket, which sends a FIN unless received bytes are unread. A ConnectionError of the server took the path for lost callers and closed the connection in the usual way.

Change: one function cuts a streamed response, for an invalid response and for a broken connection alike: it logs answer_cut and closes the socket with a linger time of 0, which sends a reset.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -1,6 +1,8 @@
 """Callers' HTTP/1.1 connections: one task for each, one request at a time."""
 
 import asyncio
+import socket
+import struct
 import time
 
 import h11
@@ -22,6 +24,8 @@
 that was sent before the timeout still finds the connection open."""
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a request without a valid deadline header field (s)."""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER with a time of 0 s: closing the socket resets the connection."""
 _RESULT_CODES = {431: ResultCode.HEADER_TOO_LARGE, 413: ResultCode.TOO_LARGE}
 """Map of the status that h11 suggests for an invalid request to its result code."""
 
@@ -284,15 +288,26 @@
         return
     try:
         await _stream_response(front, conn, forwarded)
-    except httpcall.InvalidResponseError as exc:
-        # The reset shows the caller that the response is incomplete.
-        log_event(front.log, "answer_cut", id=req.request_id, cause=str(exc))
-        bytestream.abort(conn.stream)
-        raise ConnectionAbortedError("the server's response broke off") from exc
+    except (ConnectionError, httpcall.InvalidResponseError) as exc:
+        _cut_response(front, conn, req, str(exc) or type(exc).__name__)
+        raise ConnectionAbortedError("a streamed response was cut") from exc
     finally:
         forwarded.release()
 
 
+def _cut_response(front, conn, req, cause):
+    """Resets the caller's connection.
+
+    Without the reset, the response would look complete to a caller for which the end
+    of the connection is the end of the body.
+    """
+    log_event(front.log, "answer_cut", id=req.request_id, cause=cause)
+    sock = conn.stream.transport.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    bytestream.abort(conn.stream)
+
+
 async def _stream_response(front, conn, forwarded):
     response = forwarded.response
     data = _encode_head(
--- /dev/null
+++ b/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
@@ -0,0 +1,87 @@
+"""Bodies without end, and bodies that only look so."""
+
+import time
+
+import pytest
+from flamingolift_front.forwarding import DEADLINE_GRACE_S
+from troubledserver import (
+    CHUNK,
+    CHUNKED,
+    PIECE_BYTES,
+    RESET,
+    ROUTE_TIMEOUT_S,
+    TRICKLE_S,
+    fetch,
+    forever,
+    head,
+    run_site,
+    wait_closed,
+)
+
+BROKEN_BODIES = {
+    "chunk extension": lambda rid: forever(
+        head(rid, CHUNKED) + CHUNK * 32 + b"1;", b"a" * 4096
+    ),
+    "chunk size": lambda rid: forever(
+        head(rid, CHUNKED) + CHUNK * 32 + b"1", b"0" * 4096
+    ),
+    "trailers": lambda rid: forever(
+        head(rid, CHUNKED) + CHUNK * 32 + b"0\r\n", b"a: b\r\n" * 512
+    ),
+}
+
+
+# Guards against a protocol error in a streamed body that looks like its end.
+@pytest.mark.parametrize("name", BROKEN_BODIES)
+async def test_endless_framing_cuts_the_answer(name):
+    async with run_site(BROKEN_BODIES[name]) as site:
+        data, reset = await fetch(site)
+        assert data.startswith(b"HTTP/1.1 200")
+        assert reset and not data.endswith(b"0\r\n\r\n")
+        await wait_closed(site.failed)
+
+
+# Guards against a body that its server resets and an HTTP/1.0 caller takes for whole.
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+async def test_reset_of_a_streamed_body_reaches_the_caller_as_a_reset(version):
+    def script(request_id):
+        yield head(request_id)
+        yield bytes(4 << 20)
+        yield RESET
+
+    async with run_site(script) as site:
+        data, reset = await fetch(site, version=version)
+        assert data.startswith(b"HTTP/1.1 200")
+        assert reset
+
+
+# Guards against cutting a large body at the route's timeout, though it is on its way.
+async def test_large_body_beyond_the_routes_timeout_arrives_whole():
+    count, pause_s = 40, ROUTE_TIMEOUT_S / 30.0
+
+    def script(request_id):
+        yield head(request_id, b"content-length: %d" % (count * PIECE_BYTES))
+        for _ in range(20):
+            yield bytes(PIECE_BYTES)
+        for _ in range(count - 21):
+            yield bytes(PIECE_BYTES)
+        yield bytes(PIECE_BYTES - 3) + b"end"
+
+    async with run_site(script, pause_s) as site:
+        started = time.monotonic()
+        data, reset = await fetch(site, deadline_s=20.0)
+        assert data.endswith(b"end") and not reset
+        assert time.monotonic() - started > ROUTE_TIMEOUT_S + DEADLINE_GRACE_S
+
+
+# Guards against cutting a body that comes slowly but within the deadline.
+async def test_slow_body_within_the_deadline_arrives_whole():
+    def script(request_id):
+        yield head(request_id, CHUNKED)
+        for _ in range(20):
+            yield b"2\r\nab\r\n"
+        yield b"0\r\n\r\n"
+
+    async with run_site(script, TRICKLE_S) as site:
+        data, reset = await fetch(site)
+        assert data.endswith(b"ab" * 20) and not reset
--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import os
+import socket
+import struct
 
 from flamingolift_decisions import backends, routetable
 from flamingolift_front import bytestream, callers
@@ -22,6 +24,8 @@
 DEADLINE_S = 2.0
 FAILED, SOUND = "failed", "sound"
 SOUND_BODY = b"the whole body"
+RESET = None
+"""Piece at which a server resets the connection."""
 PIECE_BYTES = 1 << 16
 TRICKLE_S = 0.02
 WAIT_S = 10.0
@@ -34,7 +38,7 @@
     Attributes:
         port: TCP port.
         server: asyncio server.
-        script: Function of the request id that returns an iterable of bytes.
+        script: Function of the request id that returns an iterable of bytes or RESET.
         pause_s: Pause after each piece (s).
         requests: Number of requests received.
         closed: Event that is set when a caller has closed its connection.
@@ -51,6 +55,12 @@
         self.server = None
 
 
+def _reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def start_server(script, pause_s=0.0):
     state = TroubledServer(script, pause_s)
 
@@ -61,6 +71,9 @@
         fields = {name.lower(): value for name, _, value in pairs}
         with contextlib.suppress(ConnectionError):
             for piece in state.script(fields["request-id"].encode()):
+                if piece is RESET:
+                    _reset(writer)
+                    return
                 writer.write(piece)
                 await writer.drain()
                 if writer.transport.is_closing():
