Cut a streamed response at the caller's deadline

What callers saw: a body without end, in chunks or without a length, was relayed without end once it was larger than 1 MiB. The caller's and the server's connection, and the server's place for a request, were held until one of them closed.

Cause: the timeout of `forwarding.forward` ends when the response is handed over; the rest of its body was relayed without a bound.

Change: the relay ends at the caller's deadline plus the grace that responses have already (0.12 s), with a reset. A caller without a deadline has the usual 30 s. The route's timeout is deliberately not a bound here: it limits the time to the response, a response that is ready is delivered, also late, and a large download under way would be lost for nothing.

Evidence: eight new tests (chunked or without a length, fast or slow, HTTP/1.0 and 1.1) had no end after 12 s before; with the change the caller sees a reset and the server's connection is closed. Two tests that passed before keep large and slow bodies whole: one beyond the route's timeout, one in a trickle.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -282,14 +282,23 @@
 
 
 async def _relay_response(front, conn, req, forwarded):
-    """Sends a server's response to the caller; only its framing may change."""
+    """Sends a server's response to the caller; only its framing may change.
+
+    Notes:
+        The route's timeout bounds the time to the response. A body that is streamed
+        after it has until the caller's deadline.
+    """
     if forwarded.call is None:
         await _send_response(front, conn, forwarded.response, req.method)
         return
+    cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
     try:
-        await _stream_response(front, conn, forwarded)
-    except (ConnectionError, httpcall.InvalidResponseError) as exc:
-        _cut_response(front, conn, req, str(exc) or type(exc).__name__)
+        async with asyncio.timeout(cut_at - time.monotonic()):
+            await _stream_response(front, conn, forwarded)
+    except (ConnectionError, TimeoutError, httpcall.InvalidResponseError) as exc:
+        late = isinstance(exc, TimeoutError)
+        cause = "the deadline passed" if late else str(exc) or type(exc).__name__
+        _cut_response(front, conn, req, cause)
         raise ConnectionAbortedError("a streamed response was cut") from exc
     finally:
         forwarded.release()
--- a/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
@@ -7,6 +7,7 @@
 from troubledserver import (
     CHUNK,
     CHUNKED,
+    FAILED,
     PIECE_BYTES,
     RESET,
     ROUTE_TIMEOUT_S,
@@ -18,6 +19,10 @@
     wait_closed,
 )
 
+BODIES = {
+    "chunked": lambda rid: forever(head(rid, CHUNKED), CHUNK),
+    "without a length": lambda rid: forever(head(rid), bytes(PIECE_BYTES)),
+}
 BROKEN_BODIES = {
     "chunk extension": lambda rid: forever(
         head(rid, CHUNKED) + CHUNK * 32 + b"1;", b"a" * 4096
@@ -31,6 +36,20 @@
 }
 
 
+# Guards against a streamed body that is relayed without end.
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("pause_s", [0.0, TRICKLE_S])
+@pytest.mark.parametrize("name", BODIES)
+async def test_endless_body_is_cut_at_the_callers_deadline(name, pause_s, version):
+    async with run_site(BODIES[name], pause_s) as site:
+        data, reset = await fetch(site, version=version)
+        assert data.startswith(b"HTTP/1.1 200")
+        assert reset
+        await wait_closed(site.failed)
+        assert not site.front.connections
+        assert site.front.view.backends.backends[FAILED].in_flight == 0
+
+
 # Guards against a protocol error in a streamed body that looks like its end.
 @pytest.mark.parametrize("name", BROKEN_BODIES)
 async def test_endless_framing_cuts_the_answer(name):
