Stop a streamed response when its caller leaves

What callers saw: nothing, but their servers did: after a caller had closed its connection in the middle of a streamed response, the front went on reading the body, or waiting for it, and kept the server's connection and its place for a request. With an endless body that lasted until the server closed.

Cause: a caller's departure cancels the task of its connection only while `forwarding.forward` runs. Afterwards a write to the closed connection does nothing, and an ordinary close leaves no error that `flush` could raise.

Change: the departure cancels the task during the streaming too. The log gets answer_cut with the cause; the server's connection is closed.

The end of the instance takes the same path, so that a response that it cuts is reset as well.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -292,6 +292,7 @@
         await _send_response(front, conn, forwarded.response, req.method)
         return
     cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
+    conn.stream.on_end = asyncio.current_task().cancel
     try:
         async with asyncio.timeout(cut_at - time.monotonic()):
             await _stream_response(front, conn, forwarded)
@@ -300,7 +301,13 @@
         cause = "the deadline passed" if late else str(exc) or type(exc).__name__
         _cut_response(front, conn, req, cause)
         raise ConnectionAbortedError("a streamed response was cut") from exc
+    except asyncio.CancelledError:
+        ended = conn.stream.ended
+        cause = "the caller disconnected" if ended else "the instance is stopping"
+        _cut_response(front, conn, req, cause)
+        raise
     finally:
+        conn.stream.on_end = None
         forwarded.release()
 
 
--- a/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
@@ -1,8 +1,11 @@
 """Bodies without end, and bodies that only look so."""
 
+import asyncio
+import itertools
 import time
 
 import pytest
+from flamingolift_front import httpcall
 from flamingolift_front.forwarding import DEADLINE_GRACE_S
 from troubledserver import (
     CHUNK,
@@ -12,9 +15,11 @@
     RESET,
     ROUTE_TIMEOUT_S,
     TRICKLE_S,
+    WAIT_S,
     fetch,
     forever,
     head,
+    open_request,
     run_site,
     wait_closed,
 )
@@ -74,6 +79,30 @@
         assert reset
 
 
+# Guards against reading on from a server, or waiting for it, after the caller has left.
+@pytest.mark.parametrize("pause_s", [0.0, TRICKLE_S, 2 * WAIT_S])
+@pytest.mark.parametrize("name", BODIES)
+async def test_streamed_body_ends_when_the_caller_leaves(name, pause_s):
+    size = 2 * httpcall.SPOOL_BYTES
+
+    def script(request_id):
+        pieces = BODIES[name](request_id)
+        yield b"".join(itertools.islice(pieces, size // PIECE_BYTES + 1))
+        yield from pieces
+
+    async with run_site(script, pause_s) as site:
+        reader, writer = await open_request(site, deadline_s=60.0)
+        async with asyncio.timeout(WAIT_S):
+            await reader.readexactly(size)
+        writer.write_eof()
+        await wait_closed(site.failed)
+        writer.close()
+        async with asyncio.timeout(WAIT_S):
+            while site.front.connections:
+                await asyncio.sleep(TRICKLE_S)
+        assert site.front.view.backends.backends[FAILED].in_flight == 0
+
+
 # Guards against cutting a large body at the route's timeout, though it is on its way.
 async def test_large_body_beyond_the_routes_timeout_arrives_whole():
     count, pause_s = 40, ROUTE_TIMEOUT_S / 30.0
--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -28,7 +28,7 @@
 """Piece at which a server resets the connection."""
 PIECE_BYTES = 1 << 16
 TRICKLE_S = 0.02
-WAIT_S = 10.0
+WAIT_S = 5.0
 """Longest wait for what has no bound of its own (s)."""
 
 
@@ -55,6 +55,12 @@
         self.server = None
 
 
+async def _wait_closed(reader, closed):
+    with contextlib.suppress(ConnectionError):
+        await reader.read()
+    closed.set()
+
+
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -69,18 +75,20 @@
         state.requests += 1
         pairs = (line.partition(": ") for line in head.split("\r\n"))
         fields = {name.lower(): value for name, _, value in pairs}
+        watcher = asyncio.create_task(_wait_closed(reader, state.closed))
         with contextlib.suppress(ConnectionError):
             for piece in state.script(fields["request-id"].encode()):
+                if state.closed.is_set():
+                    break
                 if piece is RESET:
                     _reset(writer)
-                    return
+                    break
                 writer.write(piece)
                 await writer.drain()
-                if writer.transport.is_closing():
-                    break
-                await asyncio.sleep(state.pause_s)
-            await reader.read()
+                await asyncio.wait({watcher}, timeout=state.pause_s)
+            await watcher
         state.closed.set()
+        watcher.cancel()
         writer.transport.abort()
 
     state.server = await asyncio.start_server(serve, "127.0.0.1", 0)
