--- a/standins/src/flamingolift_standins/platformserver.py
+++ b/standins/src/flamingolift_standins/platformserver.py
@@ -41,8 +41,9 @@
         script: Map of the number of a request, from 1, to a fault: "reject" (503,
             not run), "reset", "cut" (response without its end), "duplicate"
             (response sent twice), "wrong_id" (another Request-Id), "garbage" (no
-            HTTP), "silent" (no response), "fail" (500), or the bytes to send as
-            the response.
+            HTTP), "silent" (no response), "fail" (500), the bytes to send as the
+            response, or a function of the ServedRequest that returns an iterable of
+            bytes, which may have no end.
         connections: Set of the writers of open connections.
         server: asyncio server.
     """
@@ -111,6 +112,9 @@
         return False
     if not await _run_request(state, reader, request, action):
         return False
+    if callable(action):
+        await _send_pieces(reader, writer, request, action(request))
+        return False
     return _send_response(state, writer, request, action)
 
 
@@ -142,6 +146,22 @@
     return True
 
 
+async def _send_pieces(reader, writer, request, pieces):
+    """Sends until the pieces end or the caller closes the connection."""
+    closing = asyncio.create_task(reader.read(1))
+    try:
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+            if closing.done():
+                break
+    finally:
+        closing.cancel()
+        await asyncio.wait({closing})
+        request.ended = "cancelled"
+
+
 def _send_response(state, writer, request, action):
     body = b"answer of " + state.server_id.encode()
     message = _response(request, 200, body, ("Server-Seal: sealed",))
