Cut an answer whose body goes on after its slot expired

What callers saw: the daemon relayed a body without end for as long as the server sent. The dispatcher expires a grant after its hold time and grants the slot again, so the server had more requests than slots.

Cause: the time to the head of an answer is bounded by the deadline, but its body only by the longest silence within it.

Change: a body may arrive for as long as the slot is held: the deadline plus 1 s, for downloads plus 300 s. Then it is interrupted like any broken body: resumed where that is possible, else cut, and the slot ends as a timeout. A body that has arrived whole is delivered, however slowly the caller reads.

--- a/packages/daemon/src/flamingolift_daemon/streaming.py
+++ b/packages/daemon/src/flamingolift_daemon/streaming.py
@@ -39,6 +39,10 @@
 
     Raises:
         FaultError: The body was interrupted and could not be resumed.
+
+    Notes:
+        The server may send for as long as the slot is held. After that the dispatcher
+        grants the slot to another request. What has arrived is delivered, also late.
     """
     position = 0
     current = forwarded
@@ -46,12 +50,13 @@
         outcome = "cancelled"
         try:
             while True:
-                chunk = await _read_chunk(current.answer)
+                chunk = await _read_chunk(instance, current)
                 if chunk is None:
                     outcome = "ok"
                     return
                 if isinstance(chunk, Fault):
-                    outcome = "crashed"
+                    late = chunk.code is ResultCode.BACKEND_TIMEOUT
+                    outcome = "timeout" if late else "crashed"
                     break
                 if current.answer.resp.content.at_eof():
                     # The server has sent the whole body, so that its slot is free
@@ -74,18 +79,30 @@
     release_slot(instance, forwarded.slot, outcome, elapsed_ms)
 
 
-async def _read_chunk(answer):
+async def _read_chunk(instance, forwarded):
     """Returns the next chunk, None after a complete body, or a Fault on a failure."""
+    content = forwarded.answer.resp.content
+    left_s = forwarded.slot.held_until - instance.clock.now()
+    if left_s <= 0.0 and not content.is_eof():
+        return _expired_fault()
     try:
-        chunk = await answer.resp.content.read(CHUNK_BYTES)
+        async with asyncio.timeout(left_s) as timer:
+            chunk = await content.read(CHUNK_BYTES)
     except asyncio.CancelledError:
         raise
     except Exception as exc:
+        if timer.expired():
+            return _expired_fault()
         detail = f"the answer was truncated: {type(exc).__name__}"
         return Fault(ResultCode.BACKEND_FAILED, detail)
     return chunk or None
 
 
+def _expired_fault():
+    detail = "the answer did not end before its slot expired"
+    return Fault(ResultCode.BACKEND_TIMEOUT, detail)
+
+
 def _resume_range(request, forwarded, position):
     """Returns (next byte position, strong entity tag), or None if not resumable."""
     headers = {name.lower(): value for name, value in forwarded.answer.headers}
