Guard the buffers of pooled connections against bytes without end

A server may go on sending after a complete response. No fault was found: the front stops reading a pooled connection after 256 KiB and one more read, and does not reuse a connection that received bytes while idle. Such a connection stays in the pool, with its buffer, until it is picked or expires.

--- a/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from flamingolift_front import httpcall
+from flamingolift_front import bytestream, httpcall, serverpool
 from flamingolift_front.forwarding import DEADLINE_GRACE_S
 from troubledserver import (
     CHUNK,
@@ -14,6 +14,7 @@
     PIECE_BYTES,
     RESET,
     ROUTE_TIMEOUT_S,
+    SOUND_BODY,
     TRICKLE_S,
     WAIT_S,
     fetch,
@@ -21,6 +22,7 @@
     head,
     open_request,
     run_site,
+    sound,
     wait_closed,
 )
 
@@ -133,3 +135,24 @@
     async with run_site(script, TRICKLE_S) as site:
         data, reset = await fetch(site)
         assert data.endswith(b"ab" * 20) and not reset
+
+
+# Guards against unbounded buffers of pooled connections and their reuse.
+async def test_bytes_after_a_response_are_bounded_and_never_reused():
+    def script(request_id):
+        yield next(sound(request_id))
+        yield from forever(b"", bytes(PIECE_BYTES))
+
+    async with run_site(script, TRICKLE_S) as site:
+        data, _reset = await fetch(site)
+        assert data.endswith(SOUND_BODY)
+        (conn,) = site.front.pool.idle[FAILED]
+        async with asyncio.timeout(WAIT_S):
+            while len(conn.stream.buffer) <= bytestream.READ_HIGH_WATER_BYTES:
+                await asyncio.sleep(TRICKLE_S)
+        await asyncio.sleep(10 * TRICKLE_S)
+        assert len(conn.stream.buffer) <= 2 * bytestream.READ_HIGH_WATER_BYTES
+        now = time.monotonic()
+        pool, address = site.front.pool, ("127.0.0.1", site.failed.port)
+        assert serverpool.acquire_connection(pool, FAILED, address, now) is None
+        await wait_closed(site.failed)
