--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -78,7 +78,7 @@
         watcher = asyncio.create_task(_wait_closed(reader, state.closed))
         with contextlib.suppress(ConnectionError):
             for piece in state.script(fields["request-id"].encode()):
-                if state.closed.is_set():
+                if watcher.done():
                     break
                 if piece is RESET:
                     _reset(writer)
