Suspend a server that breaks off streamed bodies

A server's failure count was reset when the head of its answer was handed over, so one that broke off every large body stayed in use and its callers got cut downloads. The answer now counts after the whole body; a body that broke off counts as lost, one that is not whole at the deadline as late, and a caller that left or reads slowly is not held against the server. test_server_that_breaks_off_streamed_bodies_is_suspended is red without it.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -15,7 +15,8 @@
 from flamingolift_front.httpcall import header
 from flamingolift_front.requesttrace import Trace
 from flamingolift_front.responses import problem_response
-from flamingolift_front.sending import CallerRequest
+from flamingolift_front.sending import CallerRequest, Outcome
+from flamingolift_front.sendresults import record_stream_end
 
 __all__ = ["CallerConnection", "accept_caller", "close_idle"]
 
@@ -293,11 +294,17 @@
         return
     cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
     conn.stream.on_end = asyncio.current_task().cancel
+    outcome = Outcome.CANCELLED
     try:
         async with asyncio.timeout(cut_at - time.monotonic()):
             await _stream_response(front, conn, forwarded)
+        outcome = Outcome.ANSWERED
     except (ConnectionError, TimeoutError, httpcall.InvalidResponseError) as exc:
         late = isinstance(exc, TimeoutError)
+        if not conn.stream.ended and not late:
+            outcome = Outcome.LOST
+        elif not conn.stream.ended and conn.stream.writable is None:
+            outcome = Outcome.LATE
         cause = "the deadline passed" if late else str(exc) or type(exc).__name__
         _cut_response(front, conn, req, cause)
         raise ConnectionAbortedError("a streamed response was cut") from exc
@@ -308,7 +315,8 @@
         raise
     finally:
         conn.stream.on_end = None
-        forwarded.release()
+        bytestream.abort(forwarded.call.stream)
+        record_stream_end(front, forwarded.backend, outcome)
 
 
 def _cut_response(front, conn, req, cause):
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -106,15 +106,15 @@
         response: HttpResponse.
         call: HttpCall from which the rest of the body is read; None when `response`
             is complete.
-        release: Function without arguments that closes the connection of `call`.
+        backend: Backend that sends the rest of the body; None like `call`.
     """
 
-    __slots__ = ("call", "release", "response")
+    __slots__ = ("backend", "call", "response")
 
-    def __init__(self, response, call=None, release=None):
+    def __init__(self, response, call=None, backend=None):
         self.response = response
         self.call = call
-        self.release = release
+        self.backend = backend
 
 
 async def send_request(front, req, route, backend, deadline):
@@ -165,9 +165,7 @@
         if not finished:
             bytestream.abort(stream)
     if not response.complete:
-        return Outcome.ANSWERED, ForwardedResponse(
-            response, call, _make_release(backend, stream)
-        )
+        return Outcome.ANSWERED, ForwardedResponse(response, call, backend)
     returned_at = time.monotonic()
     serverpool.return_connection(
         front.pool, entry.server_id, address, call, response, returned_at
@@ -175,14 +173,6 @@
     return _classify(front, response), ForwardedResponse(response)
 
 
-def _make_release(backend, stream):
-    def release():
-        backend.in_flight -= 1
-        bytestream.abort(stream)
-
-    return release
-
-
 def _classify(front, response):
     if response.status == 421:
         return Outcome.WRONG_SERVER
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -10,7 +10,7 @@
 from flamingolift_front.sending import Outcome
 from flamingolift_front.state import response_times_for
 
-__all__ = ["record_send_result"]
+__all__ = ["record_send_result", "record_stream_end"]
 
 
 def record_send_result(front, trace, backend, send, forwarded, started):
@@ -26,7 +26,7 @@
 
     Notes:
         While the body of a response is still streaming, the request keeps counting as
-        in flight until `ForwardedResponse.release` is called.
+        in flight until `record_stream_end` is called.
     """
     if forwarded is None or forwarded.call is None:
         backend.in_flight -= 1
@@ -45,11 +45,33 @@
 def _record_outcome(front, backend, outcome, forwarded):
     """Updates the server's load, or suspends it after failures."""
     now = time.monotonic()
-    view, server_id = front.view.backends, backend.entry.server_id
     if outcome in (Outcome.ANSWERED, Outcome.NOT_RUN):
-        backends.record_answer(backend)
+        if forwarded.call is None:
+            backends.record_answer(backend)
         _record_load(front, backend, outcome, forwarded.response.headers, now)
         return
+    _record_failure(front, backend, outcome, now)
+
+
+def record_stream_end(front, backend, outcome):
+    """Records how the body of a streamed response ended.
+
+    Args:
+        front: Front.
+        backend: Backend that sent it.
+        outcome: ANSWERED after the whole body, LOST when the server broke it off,
+            LATE at the deadline, or CANCELLED when the caller did not take it.
+    """
+    backend.in_flight -= 1
+    if outcome is Outcome.ANSWERED:
+        backends.record_answer(backend)
+    elif outcome is not Outcome.CANCELLED:
+        _record_failure(front, backend, outcome, time.monotonic())
+
+
+def _record_failure(front, backend, outcome, now):
+    """Suspends a server after too many failures."""
+    view, server_id = front.view.backends, backend.entry.server_id
     if outcome is Outcome.LOST:
         suspension_s = backends.record_lost_answer(view, backend, now)
     elif outcome in (Outcome.LATE, Outcome.OVERDUE):
--- a/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_bodies.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from flamingolift_decisions import backends
 from flamingolift_front import bytestream, httpcall, serverpool
 from flamingolift_front.forwarding import DEADLINE_GRACE_S
 from troubledserver import (
@@ -156,3 +157,14 @@
         pool, address = site.front.pool, ("127.0.0.1", site.failed.port)
         assert serverpool.acquire_connection(pool, FAILED, address, now) is None
         await wait_closed(site.failed)
+
+
+# Guards against a server that stays in use though it breaks off each streamed body.
+async def test_server_that_breaks_off_streamed_bodies_is_suspended():
+    async with run_site(BROKEN_BODIES["trailers"]) as site:
+        for _ in range(backends.LOST_ANSWERS_BEFORE_SUSPENSION):
+            await fetch(site)
+        failed = site.front.view.backends.backends[FAILED]
+        assert failed.suspended_until > time.monotonic()
+        data, _reset = await fetch(site)
+        assert data.endswith(SOUND_BODY)
