Do not read stray bytes as the response of the store or a peer

Bytes that arrived on the idle connection of a watch, or of a peer, were read as the response to the next request, and an empty or foreign one would have moved the view's revision past changes.

--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -145,7 +145,9 @@
     """
     try:
         async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S) as timer:
-            if link.stream is None or link.stream.ended:
+            # Bytes that arrived since the last response belong to no request.
+            if link.stream is None or link.stream.ended or link.stream.buffer:
+                close_link(link)
                 link.stream = await bytestream.connect(
                     *link.address, CONNECT_TIMEOUT_S, keepalive=True
                 )
--- a/packages/front/src/flamingolift_front/serverpool.py
+++ b/packages/front/src/flamingolift_front/serverpool.py
@@ -133,7 +133,10 @@
 
 
 def close_expired(pool, now):
-    """Closes the idle connections that have expired or were closed by the server.
+    """Closes the idle connections that cannot be reused.
+
+    They have expired, were closed by the server, or received bytes that belong to no
+    request.
 
     Args:
         pool: ServerPool.
@@ -141,7 +144,9 @@
     """
     for server_id, idle_connections in list(pool.idle.items()):
         kept = [
-            c for c in idle_connections if now < c.expires_at and not c.stream.ended
+            c
+            for c in idle_connections
+            if now < c.expires_at and not c.stream.ended and not c.stream.buffer
         ]
         for conn in idle_connections:
             if conn not in kept:
