--- a/bench/spread.py
+++ b/bench/spread.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-import random
 import signal
-import string
 import tempfile
 import time
 from pathlib import Path
@@ -22,10 +20,11 @@
 from bench.report import write_json
 from bench.spreadreport import Run, print_run, read_events, read_metrics, summarize
 from integration.platformfleet import (
-    HOST,
     ROUTES,
     is_ready,
+    late_route,
     make_platform,
+    make_routes,
     put_policy,
     start_front,
     stop_platform,
@@ -153,26 +152,6 @@
         self.late_s = 0.0
 
 
-def make_routes(count, seed):
-    """Returns rows of routes with names, hosts and prefixes that do not compress."""
-    rng = random.Random(seed)
-    alphabet = string.ascii_lowercase + string.digits
-
-    def word(length):
-        return "".join(rng.choices(alphabet, k=length))
-
-    hosts = [f"{word(6)}.example" for _ in range(30)]
-    tail = ["safe", "1500ms", "reads", 2, True, [], None]
-    return [
-        [f"r-{word(7)}", rng.choice(hosts), f"/{word(7)}/", *tail] for _ in range(count)
-    ]
-
-
-def _late_route(number):
-    tail = ["safe", "900ms", "reads", 1, True, [], None]
-    return [f"r-late{number}", HOST, f"/late{number}/", *tail]
-
-
 async def _start_region(region, scenario):
     """Starts the instances and waits until each knows all others."""
     platform, control_ports = region.platform, {}
@@ -369,7 +348,7 @@
         # The policy is the store's largest item, held in base64.
         largest = max(len(item["value"]) for item in store.items.values())
         run.policy_bytes[version] = largest * 3 // 4
-        routes.append(_late_route(index))
+        routes.append(late_route(index))
 
 
 async def _run_scenario(scenario):
--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import os
+import random
+import string
 import sys
 
 from flamingolift_standins.platformserver import start_server, stop_server
@@ -92,6 +94,27 @@
         self.settings_path = settings_path
 
 
+def make_routes(count, seed=1):
+    """Returns rows of routes with names, hosts and prefixes that do not compress."""
+    rng = random.Random(seed)
+    alphabet = string.ascii_lowercase + string.digits
+
+    def word(length):
+        return "".join(rng.choices(alphabet, k=length))
+
+    hosts = [f"{word(6)}.example" for _ in range(30)]
+    tail = ["safe", "1500ms", "reads", 2, True, [], None]
+    return [
+        [f"r-{word(7)}", rng.choice(hosts), f"/{word(7)}/", *tail] for _ in range(count)
+    ]
+
+
+def late_route(number):
+    """Returns the row of a route that is added after others."""
+    tail = ["safe", "900ms", "reads", 1, True, [], None]
+    return [f"r-late{number}", HOST, f"/late{number}/", *tail]
+
+
 def put_policy(store, version, routes=ROUTES, columns=ROUTE_COLUMNS):
     """Writes a configuration, with its routes as a table, to the store."""
     names = sorted({row[5] for row in routes if row[5]})
--- a/integration/test_large_policy.py
+++ b/integration/test_large_policy.py
@@ -1,19 +1,18 @@
 """How a policy with many routes reaches the instances of a region with slow links."""
 
 import asyncio
-import random
-import string
 
 import pytest
 from flamingolift_model.plan import InstanceEntry
 from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
 from flamingolift_wire.codec import decode_document, encode_document
 from platformfleet import (
-    HOST,
     ROUTES,
     events,
     has_policy,
     is_ready,
+    late_route,
+    make_routes,
     put_policy,
     send,
     start_front,
@@ -32,36 +31,6 @@
 START_TIMEOUT_S = 30.0
 
 
-def make_routes(count, seed=1):
-    """Returns rows of routes with names, hosts and prefixes that do not compress."""
-    rng = random.Random(seed)
-
-    def word(length):
-        return "".join(rng.choices(string.ascii_lowercase + string.digits, k=length))
-
-    hosts = [f"{word(6)}.example" for _ in range(30)]
-    return [
-        [
-            f"r-{word(7)}",
-            rng.choice(hosts),
-            f"/{word(7)}/",
-            "safe",
-            "1500ms",
-            "reads",
-            2,
-            True,
-            [],
-            None,
-        ]
-        for _ in range(count)
-    ]
-
-
-def late_route(number):
-    path = f"/late{number}/"
-    return [f"r-late{number}", HOST, path, "safe", "900ms", "reads", 1, True, [], None]
-
-
 @pytest.fixture
 async def region(platform):
     """Starts a region whose instances reach each other over slow links.
--- a/packages/front/src/flamingolift_front/tests/frontviews.py
+++ b/packages/front/src/flamingolift_front/tests/frontviews.py
@@ -1,5 +1,11 @@
-"""Documents of a front's view, for its tests."""
+"""Fronts without listeners and documents of their views, for tests of the front."""
 
+import os
+
+from flamingolift_front.eventlog import EventLog
+from flamingolift_front.frontmetrics import FrontMetrics
+from flamingolift_front.state import Front
+from flamingolift_model.frontsettings import FrontSettings, HeaderNames
 from flamingolift_model.plan import InstanceEntry
 from flamingolift_model.routing import Route, RoutingPolicy, WeightedService
 
@@ -31,3 +37,21 @@
         peer_port=peer_port,
         operator_port=3,
     )
+
+
+def make_front(**settings):
+    """Returns a Front whose log is discarded."""
+    cfg = FrontSettings(
+        instance_id="front-0",
+        region="upland",
+        failure_domain="d0",
+        host="127.0.0.1",
+        caller_port=1,
+        ready_port=1,
+        lookup_port=1,
+        peer_port=1,
+        domain_regions={"d0": "upland"},
+        **settings,
+    )
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), cfg.instance_id)
+    return Front(cfg, HeaderNames(), None, log, FrontMetrics())
--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -2,16 +2,11 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 import struct
 
 from flamingolift_decisions import backends, routetable
 from flamingolift_front import bytestream, callers
-from flamingolift_front.eventlog import EventLog
-from flamingolift_front.frontmetrics import FrontMetrics
-from flamingolift_front.state import Front
-from flamingolift_model.frontsettings import FrontSettings, HeaderNames
 from flamingolift_model.plan import BackendEntry
 from flamingolift_model.routing import (
     Route,
@@ -19,6 +14,7 @@
     ServiceSpec,
     WeightedService,
 )
+from frontviews import make_front
 
 ROUTE_TIMEOUT_S = 1.0
 DEADLINE_S = 2.0
@@ -116,21 +112,9 @@
 CHUNKED = b"transfer-encoding: chunked"
 
 
-def make_front(ports):
-    cfg = FrontSettings(
-        instance_id="front-1",
-        region="r",
-        failure_domain="d",
-        host="127.0.0.1",
-        caller_port=1,
-        ready_port=1,
-        lookup_port=1,
-        peer_port=1,
-        domain_regions={"d": "r"},
-        retry_extra=100,
-    )
-    log = EventLog(os.open(os.devnull, os.O_WRONLY), "front-1")
-    front = Front(cfg, HeaderNames(), None, log, FrontMetrics())
+def make_site_front(ports):
+    """Returns a front that knows one route and its servers, by name and port."""
+    front = make_front(retry_extra=100)
     front.started_at -= 100.0
     route = Route(
         name="maps",
@@ -150,8 +134,8 @@
         entry = BackendEntry(
             server_id=server_id,
             service="maps",
-            region="r" if server_id == FAILED else "other",
-            failure_domain="d",
+            region=front.cfg.region if server_id == FAILED else "other",
+            failure_domain=front.cfg.failure_domain,
             host="127.0.0.1",
             port=port,
             slots=3,
@@ -180,7 +164,7 @@
     site.sound = await start_server(sound) if with_sound else None
     servers = [s for s in (site.failed, site.sound) if s is not None]
     names = (FAILED, SOUND)
-    site.front = make_front(
+    site.front = make_site_front(
         {name: s.port for name, s in zip(names, servers, strict=False)}
     )
     listener = await asyncio.get_running_loop().create_server(
