Keep serving when a header field or a background task fails

A Deadline-Ms of "²" ended the caller's connection without a response, since such digits pass str.isdigit and float does not read them; numbers of thousands of digits had the same effect in a server's load report and a peer's query. One function now reads counts. A task that follows the store and ended with an unhandled exception left the instance at its old view for good; background tasks are started again, with a log line. Tests fail without these changes.

--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -24,6 +24,7 @@
 region = "upland"
 [self.limits]
 max_fds = 512
+link_mbps = 25
 [network]
 internal_ports = [{metrics}, {metrics}]
 seeds = []
@@ -240,7 +241,7 @@
     lines += headers
     if body:
         lines.append(f"Content-Length: {len(body)}")
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
     try:
         async with asyncio.timeout(10.0):
             raw = await reader.read()
--- a/integration/test_large_policy.py
+++ b/integration/test_large_policy.py
@@ -1,6 +1,7 @@
 """How a policy with many routes reaches the instances of a region with slow links."""
 
 import asyncio
+import base64
 
 import pytest
 from flamingolift_model.plan import InstanceEntry
@@ -21,9 +22,9 @@
 
 INSTANCES = 10
 ROUTE_COUNT = 1600
-LINK_BYTES_PER_S = 10e6 / 8
-"""Bandwidth of a small instance's link, 10 Mbit/s (bytes/s)."""
-REGION_FOLLOWERS = 30
+LINK_BYTES_PER_S = 5e6 / 8
+"""Bandwidth of the smallest link of an instance, 5 Mbit/s (bytes/s)."""
+REGION_FOLLOWERS = 31
 """Instances that follow the relays in a region of a large deployment."""
 FOLLOWERS = INSTANCES - 3
 IN_FORCE_S = 3.0
@@ -102,3 +103,10 @@
     await wait_until(lambda: all(has_policy(f, 63) for f in fronts), IN_FORCE_S - 0.33)
     for front in fronts:
         assert (await send(front, "GET", "/late63/a")).status == 200
+
+
+# Guards against relays that are chosen without knowing the bandwidth of their links.
+async def test_instance_registers_the_bandwidth_of_its_link(platform, front):
+    item = platform.store.items["instances/front-1"]
+    entry = decode_document(InstanceEntry, base64.b64decode(item["value"])).ok
+    assert entry.link_mbps == 25.0
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+import pytest
 from flamingolift_decisions.backends import TIMEOUTS_BEFORE_SUSPENSION
 from flamingolift_standins.platformserver import stop_server
 from platformfleet import (
@@ -272,3 +273,11 @@
         received_requests(platform, "i-book-2")
     )
     assert after == total + 1
+
+
+# Guards against a header field that ends the caller's connection without a response.
+@pytest.mark.parametrize("value", ["\u00b2", "9" * 3000, "-5", "1e3"])
+async def test_malformed_deadline_is_no_deadline(platform, front, value):
+    reply = await send(front, "GET", "/read/a", headers=[f"Deadline-Ms: {value}"])
+    assert reply.status == 200
+    assert not events(front, "task_failed")
--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -158,7 +158,7 @@
     text = req.get_header(DEADLINE_HEADER)
     if text is None:
         return rules.deadline_ms
-    if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
         detail = f"{DEADLINE_HEADER} must be from 1 to {MAX_DEADLINE_MS}"
         raise FaultError(Fault(ResultCode.BAD_REQUEST, detail))
     return int(text)
--- a/packages/daemon/src/flamingolift_daemon/streaming.py
+++ b/packages/daemon/src/flamingolift_daemon/streaming.py
@@ -117,7 +117,7 @@
         return position, etag
     content_range = headers.get("content-range", "")
     first, dash, _ = content_range.removeprefix("bytes ").partition("-")
-    if forwarded.answer.status == 206 and dash and first.isdigit():
+    if forwarded.answer.status == 206 and dash and first.isdecimal():
         return int(first) + position, etag
     return None
 
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -205,10 +205,8 @@
     request_id = header(headers, names.request_id)
     if not request_id:
         return Error(Fault(ResultCode.BAD_REQUEST, f"{names.request_id} is missing"))
-    remaining_ms = header(headers, names.deadline_ms, "")
-    remaining_s = (
-        float(remaining_ms) / 1000.0 if remaining_ms.isdigit() else DEFAULT_DEADLINE_S
-    )
+    remaining_ms = httpcall.parse_count(header(headers, names.deadline_ms, ""))
+    remaining_s = DEFAULT_DEADLINE_S if remaining_ms is None else remaining_ms / 1000.0
     return Ok(
         CallerRequest(
             request_id,
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -14,6 +14,7 @@
     "is_reusable",
     "iter_body",
     "open_call",
+    "parse_count",
     "read_response",
     "strip_hop_headers",
 ]
@@ -23,6 +24,8 @@
 SPOOL_BYTES = 1 << 20
 """Largest body that is buffered completely before its first byte is passed on (bytes).
 Larger ones are streamed, and their requests are not retried."""
+MAX_COUNT_DIGITS = 15
+"""Digits of a number beyond which it is not taken for a count."""
 MAX_SKIPPED_RESPONSES = 4
 """Responses to other requests that are skipped on one connection."""
 MAX_SKIPPED_BYTES = MAX_SKIPPED_RESPONSES * SPOOL_BYTES
@@ -124,6 +127,12 @@
     return default
 
 
+def parse_count(text):
+    """Returns a decimal number of a header field or query, or None if it is none."""
+    text = text.strip()
+    return int(text) if text.isdecimal() and len(text) <= MAX_COUNT_DIGITS else None
+
+
 def strip_hop_headers(headers, extra=()):
     """Removes the hop-by-hop header fields (RFC 9110, section 7.6.1).
 
--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -111,8 +111,8 @@
 
 
 def _int_parameter(query, name, default):
-    text = query.get(name, "")
-    return int(text) if text.isdigit() else default
+    value = httpcall.parse_count(query.get(name, ""))
+    return default if value is None else value
 
 
 async def _wait_for_change(view, after, wait_s):
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -23,6 +23,8 @@
 """Part of the grace time that is reserved for the exit of the process (s)."""
 POOL_SWEEP_INTERVAL_S = 2.0
 """Interval at which expired idle connections are closed (s)."""
+RESTART_PAUSE_S = 0.5
+"""Pause before a background task that failed is started again (s)."""
 DRAIN_POLL_INTERVAL_S = 0.05
 """Interval at which the requests in flight are checked during a shutdown (s)."""
 
@@ -43,13 +45,13 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload_settings)
     listeners = await _listen(front, lookup_handler, ready_handler)
-    for coroutine in (
-        sync_view(front),
-        pull_from_peers(front),
-        _close_idle_connections(front),
-        loopwatch.watch_loop(front),
+    for function in (
+        sync_view,
+        pull_from_peers,
+        _close_idle_connections,
+        loopwatch.watch_loop,
     ):
-        _start_task(front, coroutine)
+        _start_task(front, _run_forever(front, function))
     registration_task = _start_task(front, maintain_registration(front))
     gc.collect()
     gc.freeze()
@@ -58,6 +60,16 @@
     await _shut_down(front, listeners, registration_task)
 
 
+async def _run_forever(front, function):
+    """Runs a coroutine function of the front, and again when it fails."""
+    while True:
+        try:
+            await function(front)
+        except Exception as exc:
+            log_event(front.log, "task_failed", task=function.__name__, cause=repr(exc))
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
 def _start_task(front, coroutine):
     task = asyncio.get_running_loop().create_task(coroutine)
     front.tasks.add(task)
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -4,7 +4,7 @@
 
 from flamingolift_decisions import attempttimeout, backends, loads
 
-from flamingolift_front import serverpool
+from flamingolift_front import httpcall, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import Outcome
@@ -94,9 +94,10 @@
     if outcome is Outcome.NOT_RUN:
         slots = max(1, backend.entry.slots)
         loads.record_load(backend, slots, slots, now)
-    parts = header(headers, front.header_names.load, "").split(",")
-    if len(parts) >= 2 and parts[0].strip().isdigit() and parts[1].strip().isdigit():
+    report = header(headers, front.header_names.load, "")
+    counts = [httpcall.parse_count(part) for part in report.split(",")]
+    if len(counts) >= 2 and None not in counts[:2]:
         # The server's report still counts the answered request as running.
         own_request = int(outcome is Outcome.ANSWERED)
-        running = max(0, int(parts[0]) - own_request)
-        loads.record_load(backend, running, int(parts[1]), now)
+        running = max(0, counts[0] - own_request)
+        loads.record_load(backend, running, counts[1], now)
--- a/packages/front/src/flamingolift_front/serverpool.py
+++ b/packages/front/src/flamingolift_front/serverpool.py
@@ -111,8 +111,9 @@
     declared = httpcall.header(headers, "keep-alive", "")
     for part in declared.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return min(MAX_IDLE_S, float(value) - IDLE_MARGIN_S)
+        timeout_s = httpcall.parse_count(value)
+        if name.lower() == "timeout" and timeout_s is not None:
+            return min(MAX_IDLE_S, timeout_s - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
 
 
--- a/packages/front/src/flamingolift_front/viewsource.py
+++ b/packages/front/src/flamingolift_front/viewsource.py
@@ -126,6 +126,6 @@
     if not known:
         for seed in front.cfg.peer_seeds:
             host, _, port = seed.rpartition(":")
-            if port.isdigit() and host != front.cfg.host:
+            if port.isdecimal() and host != front.cfg.host:
                 known.append((host, int(port)))
     return front.rng.choice(known) if known else None
