--- a/packages/model/src/flamingolift_model/tests/test_record.py
+++ b/packages/model/src/flamingolift_model/tests/test_conversion.py
@@ -9,16 +9,19 @@
 import hypothesis.strategies as st
 import pytest
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
-from flamingolift_model.record import (
-    MAX_DEPTH,
-    MAX_UNKNOWN_FIELDS,
-    MISSING,
-    Field,
-    Record,
-)
+from flamingolift_model.conversion import MAX_DEPTH, MAX_UNKNOWN_FIELDS
+from flamingolift_model.record import MISSING, Field, Record
 from hypothesis import given, settings
 
-MODULES = ("plan", "policy", "peer", "settings", "routing", "frontsettings")
+MODULES = (
+    "plan",
+    "policy",
+    "peer",
+    "settings",
+    "routing",
+    "frontsettings",
+    "viewupdate",
+)
 
 
 class Leaf(Record):
