--- a/integration/test_large_documents.py
+++ b/integration/test_large_documents.py
@@ -13,13 +13,9 @@
 from flamingolift_model import peer
 from flamingolift_model.plan import InstanceEntry, LiveList
 from flamingolift_model.settings import Settings
-from flamingolift_standins.fleet import (
-    OPERATOR_KEY,
-    PEER_KEYS,
-    TICKET_KEYS,
-    free_ports,
-)
+from flamingolift_standins.fleet import OPERATOR_KEY, PEER_KEYS, TICKET_KEYS
 from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
+from flamingolift_standins.ports import free_ports
 from flamingolift_wire.codec import MAX_DOCUMENT_BYTES, encode_document
 
 HOST = "127.0.0.1"
