Count the lag of an update from its own announcement

An announcement of a revision that the follower already had, from a relay that was late, started the clock by which the next announced update was judged: that one counted as overdue at once, and the follower read the store. Found on reading the diff; the new test fails without the change.

--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -206,8 +206,9 @@
 
 
 def _record_announcement(view, following, update):
-    # While the view stands still, newer announcements do not restart the clock.
-    if following.base != view.revision:
+    # While an announced update has not arrived, newer announcements do not restart the
+    # clock.
+    if following.revision <= view.revision or following.base != view.revision:
         following.base = view.revision
         following.announced_at = time.monotonic()
         following.received = 0
--- a/packages/front/src/flamingolift_front/tests/test_relaysync.py
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -211,3 +211,17 @@
     relays[0].link.bytes_per_s = size / 30.0
     await wait_for_revision(follower, 11)
     assert [len(relay.transfers()) for relay in relays] == [1, 1, 0]
+
+
+# Guards against a late announcement from which the lag of the next update is counted.
+async def test_announcement_of_a_known_update_starts_no_clock(region, change):
+    follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    await publish(relays[:2], change, 4000)
+    await wait_for_revision(follower, 11)
+    await publish(relays[2:], change, 4000)
+    await asyncio.sleep(relaysync.ANNOUNCED_TIMEOUT_S + 0.5)
+    await publish(relays, change, 4000, revision=12)
+    await wait_for_revision(follower, 12)
+    assert not follow.done()
+    assert [len(relay.transfers()) for relay in relays] == [2, 0, 0]
