--- a/integration/test_fleetsimulation.py
+++ b/integration/test_fleetsimulation.py
@@ -27,6 +27,15 @@
     assert share_in_time(tallies, 22, 30) > 0.7
 
 
+# Guards against an overload that keeps itself going because objects move to servers
+# that do not hold them.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_fleet_recovers_within_seconds_of_a_long_overload(seed):
+    load = Workload(servers=11, seconds=22.0, bursts=[(8.0, 14.0, 2.0)])
+    tallies = run_simulation(load, seed)
+    assert share_in_time(tallies, 16, 22) > 0.7
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_popular_object_gets_more_servers(seed):
     """An object that needs more than two servers does not overload just two."""
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -208,7 +208,8 @@
                 "MAX_SERVERS_WHEN_BUSY = 99",
             )
         ],
-        "integration/test_fleetsimulation.py::test_fleet_recovers_when_an_overload_ends",
+        "integration/test_fleetsimulation.py::"
+        "test_fleet_recovers_within_seconds_of_a_long_overload",
     ),
     "F13 stop at once": (
         [(f"{FRONT}/run.py", "grace_s = front.cfg.grace_s", "grace_s = 0.0")],
@@ -228,6 +229,57 @@
         [(f"{DECISIONS}/admission.py", "return share > 0.0 and", "return False and")],
         f"{DECISIONS}/tests/test_admission.py",
     ),
+    "F16 transfer a large update from every relay": (
+        [(f"{FRONT}/relaysync.py", "HEDGE_S = 0.5", "HEDGE_S = 0.0")],
+        f"{FRONT}/tests/test_relaysync.py::test_large_update_is_transferred_once",
+    ),
+    "F17 send a large update with the poll": (
+        [(f"{FRONT}/relaysync.py", "INLINE_BYTES = 8192", "INLINE_BYTES = 0")],
+        f"{FRONT}/tests/test_relaysync.py::test_large_update_is_transferred_once",
+    ),
+    "F18 send documents uncompressed": (
+        [
+            (
+                f"{FRONT}/viewupdates.py",
+                "COMPRESS_FROM_BYTES = 2048",
+                "COMPRESS_FROM_BYTES = 1 << 40",
+            )
+        ],
+        "integration/test_large_policy.py::"
+        "test_large_policy_is_in_force_in_time_behind_slow_links",
+    ),
+    "F19 choose relays without their links": (
+        [
+            (
+                f"{DECISIONS}/relays.py",
+                "ordered.sort(key=lambda entry: -entry.link_mbps)",
+                "ordered.sort(key=lambda entry: 0)",
+            )
+        ],
+        f"{DECISIONS}/tests/test_relays.py",
+    ),
+    "F20 never read an overdue update from the store": (
+        [
+            (
+                f"{FRONT}/relaysync.py",
+                "ANNOUNCED_TIMEOUT_S = 1.4",
+                "ANNOUNCED_TIMEOUT_S = 1e9",
+            )
+        ],
+        f"{FRONT}/tests/test_relaysync.py::"
+        "test_announced_update_that_does_not_arrive_ends_the_following",
+    ),
+    "F21 send the whole view after a lost history": (
+        [
+            (
+                f"{FRONT}/viewsync.py",
+                "is_first = view.recent_after is None",
+                "is_first = True",
+            )
+        ],
+        f"{FRONT}/tests/test_viewupdates.py::"
+        "test_relay_that_reads_a_snapshot_sends_the_difference",
+    ),
 }
 
 
