--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -24,6 +24,7 @@
     "quarantine",
     "relays",
     "routetable",
+    "serverlimits",
     "servers",
     "shifts",
     "steering",
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -64,6 +64,8 @@
             (s, monotonic).
         external_load: Requests of other instances at the last load report.
         external_load_at: Time of that report (s, monotonic).
+        limit: ServerLimit of its last answer, or None before the first one.
+        limit_invalid: Whether it named a limit that cannot be used.
     """
 
     __slots__ = (
@@ -74,6 +76,8 @@
         "failures",
         "in_flight",
         "late",
+        "limit",
+        "limit_invalid",
         "lost",
         "next_cold_request_at",
         "suspended_until",
@@ -92,6 +96,8 @@
         self.next_cold_request_at = -math.inf
         self.external_load = 0
         self.external_load_at = -math.inf
+        self.limit = None
+        self.limit_invalid = False
 
 
 class BackendView:
@@ -160,6 +166,7 @@
     if before.started_ms != entry.started_ms:
         backend.suspended_until = backend.trial_until = -math.inf
         backend.failures = backend.lost = backend.late = 0
+        backend.limit, backend.limit_invalid = None, False
         spec = view.services.get(entry.service)
         cold_s = max(entry.cold_ms, spec.cold_ms if spec else 0.0) / 1000.0
         _extend_cold_period(view, backend, cold_s, now)
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client: one request and its response on a connection."""
 
 import asyncio
+import re
 
 import h11
 
@@ -15,6 +16,7 @@
     "iter_body",
     "open_call",
     "parse_count",
+    "parse_decimal",
     "read_response",
     "strip_hop_headers",
 ]
@@ -37,6 +39,7 @@
 """Parsed pieces of responses after which other tasks of the event loop run: about
 half a millisecond of work. A buffer holds tens of thousands of tiny chunks."""
 
+_DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 _STATUS_LINE_START = b"HTTP/1."
 _HOP_HEADERS = frozenset(
     (
@@ -133,6 +136,11 @@
     return int(text) if text.isdecimal() and len(text) <= MAX_COUNT_DIGITS else None
 
 
+def parse_decimal(text):
+    """Returns a non-negative decimal number of a header field, or None if it is none."""
+    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
+
+
 def strip_hop_headers(headers, extra=()):
     """Removes the hop-by-hop header fields (RFC 9110, section 7.6.1).
 
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -100,6 +100,17 @@
         "outcome",
         "suspended_s",
     ),
+    "server_limit_changed": (
+        "server",
+        "change",
+        "limit_per_s",
+        "source",
+        "age_s",
+    ),
+    "server_limit_invalid": (
+        "server",
+        "value",
+    ),
     "instance_changed": (
         "peer",
         "state",
--- a/packages/model/src/flamingolift_model/frontsettings.py
+++ b/packages/model/src/flamingolift_model/frontsettings.py
@@ -123,12 +123,14 @@
         object_cookie: Name of the cookie that holds the key of the requested object.
         expected_server: Id of the only backend server that may run the request.
         load: Load report: running requests, waiting requests and slots, separated by commas.
+        limit: Requests that the backend server takes from all instances together (1/s), while it is present.
         not_run: Present when the backend server did not run the request.
     """
 
     __slots__ = (
         "deadline_ms",
         "expected_server",
+        "limit",
         "load",
         "not_run",
         "object_cookie",
@@ -140,6 +142,7 @@
         Field("object_cookie", "str", default="object-key"),
         Field("expected_server", "str", default="expected-server"),
         Field("load", "str", default="server-load"),
+        Field("limit", "str", default="server-limit"),
         Field("not_run", "str", default="request-not-run"),
     )
 
@@ -151,6 +154,7 @@
         object_cookie="object-key",
         expected_server="expected-server",
         load="server-load",
+        limit="server-limit",
         not_run="request-not-run",
     ):
         super().__init__()
@@ -159,6 +163,7 @@
         self.object_cookie = object_cookie
         self.expected_server = expected_server
         self.load = load
+        self.limit = limit
         self.not_run = not_run
 
 
--- a/standins/src/flamingolift_standins/platformserver.py
+++ b/standins/src/flamingolift_standins/platformserver.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 
 __all__ = ["PlatformServer", "ServedRequest", "start_server", "stop_server"]
 
@@ -17,16 +18,18 @@
         line: Request line, without the line end.
         headers: Map of lower-case name to value.
         body: Body (bytes).
+        arrived_at: Time of its arrival (s, monotonic).
         ended: "ran", "rejected", "cut" (its connection was reset) or "cancelled"
             (the caller closed its connection); empty while it runs.
     """
 
-    __slots__ = ("body", "ended", "headers", "line")
+    __slots__ = ("arrived_at", "body", "ended", "headers", "line")
 
     def __init__(self, line, headers, body):
         self.line = line
         self.headers = headers
         self.body = body
+        self.arrived_at = time.monotonic()
         self.ended = ""
 
 
@@ -37,6 +40,7 @@
         server_id: Id; requests must name it in Expect-Instance.
         port: TCP port.
         work_s: Processing time of a request (s).
+        limit: Value of Server-Limit in its answers; None names no limit.
         requests: List of ServedRequest in the order of arrival.
         script: Map of the number of a request, from 1, to a fault: "reject" (503,
             not run), "reset", "cut" (response without its end), "duplicate"
@@ -50,6 +54,7 @@
 
     __slots__ = (
         "connections",
+        "limit",
         "port",
         "requests",
         "script",
@@ -61,6 +66,7 @@
     def __init__(self, server_id, work_s):
         self.server_id = server_id
         self.work_s = work_s
+        self.limit = None
         self.requests = []
         self.script = {}
         self.connections = set()
@@ -103,9 +109,9 @@
     state.requests.append(request)
     action = state.script.get(len(state.requests), "")
     if headers.get("expect-instance") != state.server_id:
-        return _reject(writer, request, 421)
+        return _reject(state, writer, request, 421)
     if action == "reject":
-        return _reject(writer, request, 503)
+        return _reject(state, writer, request, 503)
     if action == "reset":
         request.ended = "cut"
         writer.transport.abort()
@@ -140,9 +146,14 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def _reject(writer, request, status):
+def _limit_field(state):
+    return [] if state.limit is None else [f"Server-Limit: {state.limit}"]
+
+
+def _reject(state, writer, request, status):
     request.ended = "rejected"
-    writer.write(_response(request, status, b"", ("Not-Executed: 1",)))
+    fields = ["Not-Executed: 1", *_limit_field(state)]
+    writer.write(_response(request, status, b"", fields))
     return True
 
 
@@ -164,7 +175,8 @@
 
 def _send_response(state, writer, request, action):
     body = b"answer of " + state.server_id.encode()
-    message = _response(request, 200, body, ("Server-Seal: sealed",))
+    fields = ["Server-Seal: sealed", *_limit_field(state)]
+    message = _response(request, 200, body, fields)
     if isinstance(action, bytes):
         message = action
     elif action == "cut":
@@ -177,6 +189,6 @@
     elif action == "duplicate":
         message += message
     elif action == "fail":
-        message = _response(request, 500, b"failed", ("Server-Seal: sealed",))
+        message = _response(request, 500, b"failed", fields)
     writer.write(message)
     return True
