--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -136,12 +136,14 @@
     put_item(store, "op/config", config)
 
 
-def put_server(fleet, server, service, *, zone="north", state="ready", born=1):
+def put_server(
+    fleet, server, service, *, zone="north", state="ready", born=1, sequence=1
+):
     """Writes the entry of a backend server to the store."""
     entry = {
         "address": f"127.0.0.1:{server.port}",
         "info": {"service": service, "version": "v1", "zone": zone, "slots": 3},
-        "status": {"state": state, "seq": 1, "cold_left": "0ms"},
+        "status": {"state": state, "seq": sequence, "cold_left": "0ms"},
         "born": born,
     }
     put_item(fleet.store, f"servers/{server.server_id}", entry)
--- a/standins/src/flamingolift_standins/platformstore.py
+++ b/standins/src/flamingolift_standins/platformstore.py
@@ -17,9 +17,11 @@
     "open_port",
     "put_item",
     "remove_item",
+    "restore_copy",
     "stall_watches",
     "start_store",
     "stop_store",
+    "take_copy",
 ]
 
 EXPIRY_CHECK_INTERVAL_S = 0.05
@@ -33,6 +35,7 @@
 
     Attributes:
         items: Map of key to the item as responses contain it.
+        era: Number of restored copies, plus one.
         revision: Revision of the last change.
         history: List of change events, oldest first.
         first_revision: Revision after which the history is complete.
@@ -56,6 +59,7 @@
     __slots__ = (
         "calls",
         "changed",
+        "era",
         "expiry_task",
         "first_revision",
         "history",
@@ -74,6 +78,7 @@
 
     def __init__(self):
         self.items = {}
+        self.era = 1
         self.revision = 1
         self.history = []
         self.first_revision = 0
@@ -127,6 +132,25 @@
     store.first_revision = store.revision
 
 
+def take_copy(store):
+    """Returns a copy of the store's items, leases and revision."""
+    leases = {lease: list(held) for lease, held in store.leases.items()}
+    return dict(store.items), leases, store.revision
+
+
+def restore_copy(store, copy):
+    """Restores the store from a copy: what was written since is gone, leases too."""
+    items, leases, store.revision = copy
+    store.items, store.leases = dict(items), dict(leases)
+    for held in store.leases.values():
+        held[1] = time.monotonic() + held[0]
+    store.lease_ids = itertools.count(max(leases, default=76) + 1)
+    store.era += 1
+    compact_history(store)
+    store.changed.set()
+    store.changed = asyncio.Event()
+
+
 def stall_watches(store):
     """Makes the waiting watches never respond, as on a path that drops packets."""
     store.stalls += 1
@@ -193,7 +217,9 @@
             return web.Response(status=500)
         if mode == "silent":
             await asyncio.sleep(3600.0)
-        return await handler(request)
+        response = await handler(request)
+        response.headers["Store-Era"] = str(store.era)
+        return response
 
     return middleware
 
@@ -213,6 +239,8 @@
 
 async def _watch(store, request):
     after = int(request.query["after"])
+    if after > store.revision:
+        return web.json_response({"error": "gone"}, status=410)
     deadline = time.monotonic() + int(request.query["wait_ms"]) / 1000.0
     stalls = store.stalls
     visible_after = store.revision if store.missed_by_new_watches else after
