Order what is read from a restored store by era and revision

Revisions are given out again. An instance asked for the changes after its last revision; once the store had passed that, nothing said that lower ones were new. 2. Followers asked relays of the new era for revisions above those of the old one. The copy was taken for the truth: a drain, a departure or an evacuation that it lacks was undone at once, and the id of a lost lease could be another's.

Class: a number that orders events is compared beyond the history that gave it out.

The first view of an era defers removals (2 s, evacuations 6 s), ignores older reports and departed entries of the copy until they are written again, and is sent whole to followers. A follower that knows of a new era waits 1 s for its relays. Leases belong to an era, and all instances register again at once. Answers of a former era are refused.

--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -29,6 +29,7 @@
     "servers",
     "shifts",
     "steering",
+    "storeposition",
     "topology",
     "windowbudget",
 ]
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -26,7 +26,7 @@
 SPOOL_BYTES = 1 << 20
 """Largest body that is buffered completely before its first byte is passed on (bytes).
 Larger ones are streamed, and their requests are not retried."""
-MAX_COUNT_DIGITS = 15
+MAX_COUNT_DIGITS = 18
 """Digits of a number beyond which it is not taken for a count."""
 MAX_SKIPPED_RESPONSES = 4
 """Responses to other requests that are skipped on one connection."""
--- a/packages/front/src/flamingolift_front/registration.py
+++ b/packages/front/src/flamingolift_front/registration.py
@@ -1,10 +1,12 @@
 """Registers an instance in the store under a lease and renews that lease."""
 
 import asyncio
+import contextlib
 
 from flamingolift_model import FaultError
 from flamingolift_model.plan import InstanceEntry
 
+from flamingolift_front.state import Lease
 from flamingolift_front.viewsync import call_store
 
 __all__ = ["maintain_registration", "own_entry", "resign"]
@@ -20,6 +22,9 @@
 """Longest backoff after failed calls (s): an entry whose lease expired in a store
 outage is registered again before other instances carry out its deferred removal."""
 
+ERA_SPREAD_S = 0.5
+"""Time over which the instances register again after the store was restored (s)."""
+
 
 def own_entry(front):
     """Returns the InstanceEntry of this instance.
@@ -37,6 +42,7 @@
         peer_port=cfg.peer_port,
         operator_port=cfg.ready_port,
         link_mbps=cfg.link_mbps,
+        started_ms=front.incarnation,
     )
 
 
@@ -55,18 +61,32 @@
                 pause, retry_s = RENEW_INTERVAL_S, RETRY_MIN_S
             except FaultError:
                 pause, retry_s = retry_s, min(RETRY_MAX_S, retry_s * 2.0)
-            await asyncio.sleep(pause * front.rng.uniform(0.9, 1.1))
+            await _sleep_in_era(front, pause * front.rng.uniform(0.9, 1.1))
     finally:
         front.tasks.add(asyncio.ensure_future(resign(front, lease)))
 
 
+async def _sleep_in_era(front, pause_s):
+    """Sleeps; shorter when the store has been restored, as its leases are gone."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(pause_s):
+            await front.view.era_changed.wait()
+            await asyncio.sleep(front.rng.uniform(0.0, ERA_SPREAD_S))
+
+
 async def _renew_or_register(front, lease):
-    """Renews the lease or registers anew; returns the valid lease."""
-    renewable = lease is not None and _is_listed(front)
-    if renewable and await call_store(front, "renew", front.store.renew(lease)):
-        return lease
-    entry = own_entry(front)
-    return await call_store(front, "register", front.store.register(entry, LEASE_TTL_S))
+    """Renews the lease or registers anew; returns the valid Lease."""
+    if lease is not None and lease.era == front.view.era and _is_listed(front):
+        renewing = front.store.renew(lease.lease_id)
+        renewed = await call_store(front, "renew", renewing)
+        if renewed and lease.era == front.view.era:
+            return lease
+    era = front.view.era
+    registering = front.store.register(own_entry(front), LEASE_TTL_S)
+    lease_id = await call_store(front, "register", registering)
+    # The first call of all tells the era. Later, a lease that was granted before the
+    # store was restored is none of the new era.
+    return Lease(lease_id, era or front.view.era)
 
 
 def _is_listed(front):
@@ -79,12 +99,13 @@
 
     Args:
         front: Front.
-        lease: Lease of the entry, or None.
+        lease: Lease of the entry, or None. One of an earlier era is left alone, as the
+            store may have given its id to another instance.
     """
-    if lease is None:
+    if lease is None or lease.era != front.view.era:
         return
     try:
-        await call_store(front, "resign", front.store.resign(lease))
+        await call_store(front, "resign", front.store.resign(lease.lease_id))
     except FaultError:
         # The entry is removed when its lease expires.
         front.metrics.store_calls.labels("resign", "given_up").inc()
--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -15,6 +15,7 @@
 
 from flamingolift_front import peerlink, peersync
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.viewsync import is_behind_era
 
 __all__ = ["FollowingEnd", "current_relays", "follow_relays"]
 
@@ -36,6 +37,8 @@
 HEDGE_S = 0.5
 """Lag behind that pace at which a follower asks the next relay for the update (s): the
 followers of a relay share its link, and their first bytes wait."""
+ERA_WAIT_S = 1.0
+"""Time for which a follower that knows of a restored store waits for its relays (s)."""
 ANNOUNCED_TIMEOUT_S = 1.4
 """Lag at which an announced update is read from the store (s); by then all relays were
 asked."""
@@ -108,6 +111,7 @@
     ranks = {name: rank for rank, name in enumerate(order)}
     following = Following()
     overdue = asyncio.ensure_future(_wait_overdue(front, following))
+    restored = asyncio.ensure_future(_wait_behind_era(front))
     pending, failing = {}, set()
     try:
         while [entry.instance_id for entry in current_relays(front)] == names:
@@ -119,9 +123,10 @@
                     poll = _poll_relay(front, following, link, ranks[name], pause)
                     pending[name] = asyncio.ensure_future(poll)
             await asyncio.wait(
-                [overdue, *pending.values()], return_when=asyncio.FIRST_COMPLETED
+                [overdue, restored, *pending.values()],
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            if overdue.done():
+            if overdue.done() or restored.done():
                 return FollowingEnd.OVERDUE
             relay_failed = False
             for name in [name for name, task in pending.items() if task.done()]:
@@ -135,7 +140,7 @@
             await asyncio.sleep(RELAY_PAUSE_S)
         return FollowingEnd.RELAYS_CHANGED
     finally:
-        tasks = [overdue, *pending.values()]
+        tasks = [overdue, restored, *pending.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -163,6 +168,16 @@
     )
 
 
+async def _wait_behind_era(front):
+    """Returns once the relays have not sent the view of a restored store in time."""
+    while True:
+        while not is_behind_era(front.view):
+            await front.view.changed.wait()
+        await asyncio.sleep(ERA_WAIT_S)
+        if is_behind_era(front.view):
+            return
+
+
 def _lag(following):
     """Returns how far a transfer lags behind the expected pace (s)."""
     done = min(1.0, following.received / following.size)
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -16,6 +16,7 @@
 __all__ = [
     "EncodedUpdate",
     "Front",
+    "Lease",
     "PackedDocument",
     "StorePort",
     "View",
@@ -36,7 +37,7 @@
         key: Key of the document.
         document: RoutingPolicy, Evacuation, BackendEntry or InstanceEntry; None
             when the key was removed or its value cannot be used.
-        revision: Revision of the store at the change.
+        revision: Position of the store at the change, over all eras.
     """
 
     __slots__ = ("document", "key", "revision")
@@ -79,6 +80,22 @@
         self.update = update
 
 
+class Lease:
+    """Lease of an instance's entry.
+
+    Attributes:
+        lease_id: Id that the store gave it.
+        era: Era of the store in which it was granted; a later era may give the id to
+            another instance.
+    """
+
+    __slots__ = ("era", "lease_id")
+
+    def __init__(self, lease_id, era):
+        self.lease_id = lease_id
+        self.era = era
+
+
 class StorePort:
     """Functions through which a front uses the platform's store.
 
@@ -87,13 +104,14 @@
 
     Attributes:
         read_all: Function of whether a stale read is acceptable; returns a tuple of a
-            list of ViewChange and the revision.
-        watch: Function of a revision and a time to wait (s); returns a tuple of a list
-            of ViewChange and the revision, or None when the store no longer has the
-            changes since that revision.
-        register: Function of an InstanceEntry and a time to live (s); returns a lease.
-        renew: Function of a lease; returns False when the lease has expired.
-        resign: Function of a lease; revokes it, which removes the entry.
+            list of ViewChange and the position.
+        watch: Function of a position and a time to wait (s); returns a tuple of a list
+            of ViewChange and the position, or None when the store no longer has the
+            changes since that position.
+        register: Function of an InstanceEntry and a time to live (s); returns the id of
+            a lease.
+        renew: Function of a lease's id; returns False when the lease has expired.
+        resign: Function of a lease's id; revokes it, which removes the entry.
         abort_watch: Plain function without arguments; makes a waiting watch fail.
     """
 
@@ -120,8 +138,13 @@
         packed: Map of store key to the PackedDocument of its document, for the
             documents that peers have asked for.
         encoded: EncodedUpdate that peers asked for last; None after a change.
-        revision: Revision of the store up to which changes were applied; None
-            before the first read.
+        revision: Position of the store up to which changes were applied
+            (`storeposition`); None before the first read and after a lost history.
+        era: Latest era of the store that an answer named.
+        era_changed: Event that is set and replaced when the era changes.
+        applied_era: Era of the last changes that were applied.
+        gone: Map of store key to (time of its removal (s, monotonic), document), for
+            the last removals.
         store_failed_at: Time of the first failed call since the last success (s,
             monotonic), or None while the store is available.
         store_recovered_at: Time of the first success after failures (s, monotonic).
@@ -135,10 +158,14 @@
     """
 
     __slots__ = (
+        "applied_era",
         "backends",
         "changed",
         "documents",
         "encoded",
+        "era",
+        "era_changed",
+        "gone",
         "instance_count",
         "instances",
         "packed",
@@ -160,6 +187,10 @@
         self.packed = {}
         self.encoded = None
         self.revision = None
+        self.era = 0
+        self.era_changed = asyncio.Event()
+        self.applied_era = 0
+        self.gone = {}
         self.store_failed_at = None
         self.store_recovered_at = float("-inf")
         self.recent_changes = collections.deque()
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -10,6 +10,7 @@
 import time
 
 from flamingolift_decisions import backends, instancecount, routetable
+from flamingolift_decisions.storeposition import era_of
 from flamingolift_model import FaultError
 from flamingolift_model.plan import BackendEntry, InstanceEntry
 from flamingolift_model.routing import Evacuation, RoutingPolicy
@@ -18,7 +19,14 @@
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.state import ViewChange
 
-__all__ = ["apply_changes", "apply_snapshot", "call_store", "follow_store"]
+__all__ = [
+    "apply_changes",
+    "apply_snapshot",
+    "call_store",
+    "follow_store",
+    "is_behind_era",
+    "note_era",
+]
 
 MAX_RECENT_CHANGES = 2000
 """Changes kept for peers: about one minute's worth while all backend servers of a
@@ -26,6 +34,11 @@
 REMOVAL_GRACE_S = 2.0
 """Time after the store's recovery for which the removal of expired entries is
 deferred (s): live servers register again within that time."""
+OPERATOR_REWRITE_S = 6.0
+"""Time for which an evacuation stays in force that a restored copy of the store lacks
+(s): the operator writes it again."""
+GONE_MEMORY_S = 60.0
+"""Time for which removed entries are remembered (s), longer than the age of a copy."""
 MASS_EXPIRY_SHARE = 0.34
 """Share of the leased entries that must disappear during an outage for the removals
 to count as expired leases instead of departures (ratio): an outage makes leases
@@ -68,6 +81,42 @@
     return result
 
 
+def note_era(front, era):
+    """Records the era of the store that an answer names.
+
+    Args:
+        front: Front.
+        era: Number of the era.
+
+    Returns:
+        False when the answer is of an earlier era and must not be used.
+    """
+    view = front.view
+    if era > view.era:
+        position = -1 if view.revision is None else view.revision
+        if view.era:
+            log_event(
+                front.log,
+                "store_era_changed",
+                era=era,
+                before=view.era,
+                position=position,
+            )
+            # A watch may wait for changes after a revision that is given out again.
+            front.store.abort_watch()
+        view.era = era
+        view.era_changed.set()
+        view.era_changed = asyncio.Event()
+        view.changed.set()
+        view.changed = asyncio.Event()
+    return era >= view.era
+
+
+def is_behind_era(view):
+    """Returns whether a view holds data of an earlier era than the store's latest."""
+    return view.revision is not None and era_of(view.revision) < view.era
+
+
 async def follow_store(front, max_wait_s):
     """Applies one batch of changes from the store, or a snapshot at first.
 
@@ -82,6 +131,8 @@
         FaultError: The store did not answer.
     """
     view = front.view
+    if is_behind_era(view):
+        view.revision = None
     if view.revision is None:
         accept_stale = not view.documents
         items, revision = await call_store(
@@ -116,6 +167,9 @@
         source: Address of the peer that sent the items, or "store".
     """
     view = front.view
+    is_new_era = era_of(revision) > view.applied_era and bool(view.documents)
+    if is_new_era:
+        items = [i for i in items if not _is_obsolete(front, i, revision)]
     present = {item.key for item in items}
     removals = [
         ViewChange(key, None, revision) for key in view.documents if key not in present
@@ -127,10 +181,12 @@
     ]
     for key in present:
         view.pending_removals.pop(key, None)
-    is_first = view.recent_after is None
+    # Peers of an earlier era may hold changes that this instance never saw, so that a
+    # difference from its former view would not undo them.
+    is_first = view.recent_after is None or is_new_era
     if is_first:
         view.recent_after = revision
-    apply_changes(front, fresh + removals, revision, source)
+    apply_changes(front, fresh + removals, revision, source, is_new_era)
     if is_first:
         view.recent_changes.clear()
     log_event(
@@ -143,7 +199,7 @@
     )
 
 
-def apply_changes(front, changes, revision, source="store"):
+def apply_changes(front, changes, revision, source="store", is_new_era=False):
     """Applies changes to the view in the order of the store.
 
     Args:
@@ -151,22 +207,28 @@
         changes: List of ViewChange.
         revision: Revision of the store after the last change.
         source: Address of the peer that sent the changes, or "store".
+        is_new_era: Whether the changes are those to the copy from which the store was
+            restored. What the copy lacks may be about to be written again.
     """
     view = front.view
-    mass_expiry = _is_mass_expiry(front, changes)
+    defer = is_new_era or _is_mass_expiry(front, changes)
     view.encoded = None
     for change in changes:
         view.packed.pop(change.key, None)
         if change.document is None:
             if change.key in view.documents:
-                _remove_or_defer(front, change.key, mass_expiry)
+                _remove_or_defer(front, change.key, defer, is_new_era)
+            continue
+        if _is_superseded(front, change):
             continue
         view.pending_removals.pop(change.key, None)
+        view.gone.pop(change.key, None)
         view.documents[change.key] = change.document
         _APPLY[type(change.document)](front, change, source)
     _apply_evacuations(front)
     _update_instance_count(front)
     view.revision = revision
+    view.applied_era = era_of(revision)
     _record_recent(view, changes)
 
 
@@ -195,11 +257,53 @@
     return [c for c in changes if c.key not in keys or latest[c.key] is c]
 
 
+def _is_superseded(front, change):
+    """Returns whether a change is a policy that is older than the one in force."""
+    policy, table = change.document, front.view.table
+    if table is None or not isinstance(policy, RoutingPolicy):
+        return False
+    if policy.number == table.number:
+        return policy == front.view.documents.get(change.key)
+    return policy.number < table.number
+
+
+def _is_obsolete(front, item, revision):
+    """Returns whether an item of a restored copy is older than what is known.
+
+    An older report of a server, such as one from before it began to leave, or an entry
+    that was removed, counts again only when it has been written again.
+    """
+    view, document = front.view, item.document
+    known = view.documents.get(item.key)
+    _removed_at, gone = view.gone.get(item.key, (0.0, None))
+    if isinstance(document, BackendEntry):
+        is_obsolete = _is_earlier(document, known) or _is_earlier_or_same(
+            document, gone
+        )
+    elif isinstance(document, InstanceEntry):
+        is_obsolete = known is None and document == gone
+    else:
+        is_obsolete = False
+    if is_obsolete:
+        log_event(front.log, "entry_obsolete", key=item.key, revision=revision)
+    return is_obsolete
+
+
+def _is_earlier(entry, known):
+    return (
+        isinstance(known, BackendEntry)
+        and entry.started_ms == known.started_ms
+        and entry.sequence < known.sequence
+    )
+
+
+def _is_earlier_or_same(entry, known):
+    return entry == known or _is_earlier(entry, known)
+
+
 def _apply_policy(front, change, source):
     policy = change.document
     view = front.view
-    if view.table is not None and policy.number <= view.table.number:
-        return
     view.table = routetable.build_route_table(policy)
     view.backends.services = view.table.services
     log_event(
@@ -299,17 +403,20 @@
     return len(removed & leased) > MASS_EXPIRY_SHARE * len(leased)
 
 
-def _remove_or_defer(front, key, mass_expiry):
-    """Removes an entry, or defers that until live servers can have registered again."""
-    view = front.view
-    if not mass_expiry or isinstance(view.documents[key], _OPERATOR_DOCUMENTS):
+def _remove_or_defer(front, key, defer, is_new_era):
+    """Removes an entry, or defers that until it can have been written again."""
+    view, now = front.view, time.monotonic()
+    by_operator = isinstance(view.documents[key], _OPERATOR_DOCUMENTS)
+    if not defer or (by_operator and not is_new_era):
         _remove(front, key, "removed")
         return
-    since = (
-        view.store_recovered_at if view.store_failed_at is None else time.monotonic()
-    )
-    delay_s = since + REMOVAL_GRACE_S - time.monotonic()
-    view.pending_removals[key] = since + REMOVAL_GRACE_S
+    if is_new_era or view.store_failed_at is not None:
+        since = now
+    else:
+        since = view.store_recovered_at
+    due = since + (OPERATOR_REWRITE_S if by_operator else REMOVAL_GRACE_S)
+    delay_s = due - now
+    view.pending_removals[key] = due
     asyncio.get_running_loop().call_later(delay_s, _finish_removal, front, key)
 
 
@@ -319,11 +426,17 @@
         return
     del front.view.pending_removals[key]
     _remove(front, key, "lapsed")
+    _apply_evacuations(front)
 
 
 def _remove(front, key, cause):
     view = front.view
     document = view.documents.pop(key)
+    now = time.monotonic()
+    view.gone.pop(key, None)
+    view.gone[key] = (now, document)
+    while next(iter(view.gone.values()))[0] < now - GONE_MEMORY_S:
+        del view.gone[next(iter(view.gone))]
     view.packed.pop(key, None)
     view.encoded = None
     if isinstance(document, BackendEntry):
--- a/packages/front/src/flamingolift_front/viewupdates.py
+++ b/packages/front/src/flamingolift_front/viewupdates.py
@@ -84,6 +84,7 @@
         changes = [
             ViewChange(key, document, view.revision)
             for key, document in view.documents.items()
+            if key not in view.pending_removals
         ]
     else:
         changes = [c for c in view.recent_changes if c.revision > after]
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -73,6 +73,15 @@
         "revision",
         "detail",
     ),
+    "store_era_changed": (
+        "era",
+        "before",
+        "position",
+    ),
+    "entry_obsolete": (
+        "key",
+        "revision",
+    ),
     "policy_in_force": (
         "policy",
         "routes",
--- a/packages/model/src/flamingolift_model/plan.py
+++ b/packages/model/src/flamingolift_model/plan.py
@@ -182,6 +182,7 @@
         operator_port: TCP port for operators.
         state: Platform's view of the instance.
         link_mbps: Bandwidth of the instance's link (Mbit/s); 0 when unknown.
+        started_ms: Start of the instance's incarnation (ms since the epoch); 0 means not reported.
     """
 
     __slots__ = (
@@ -194,6 +195,7 @@
         "peer_port",
         "region",
         "site",
+        "started_ms",
         "state",
     )
     FIELDS = (
@@ -207,6 +209,7 @@
         Field("operator_port", "int", min=1, max=65535),
         Field("state", "str", default="live", enum=("live", "leaving")),
         Field("link_mbps", "float", default=0.0, min=0.0),
+        Field("started_ms", "int", default=0, min=0),
     )
 
     def __init__(
@@ -222,6 +225,7 @@
         site="",
         state="live",
         link_mbps=0.0,
+        started_ms=0,
     ):
         super().__init__()
         self.instance_id = instance_id
@@ -234,6 +238,7 @@
         self.operator_port = operator_port
         self.state = state
         self.link_mbps = link_mbps
+        self.started_ms = started_ms
 
 
 class BackendEntry(Record):
@@ -250,6 +255,7 @@
         state: Platform's view of the server.
         started_ms: Start of the server's incarnation (ms since the epoch); 0 means not reported.
         cold_ms: Time for which the server is still cold, as of the report (ms).
+        sequence: Number of the report; grows within an incarnation.
     """
 
     __slots__ = (
@@ -258,6 +264,7 @@
         "host",
         "port",
         "region",
+        "sequence",
         "server_id",
         "service",
         "slots",
@@ -275,6 +282,7 @@
         Field("state", "str", default="live", enum=("live", "leaving")),
         Field("started_ms", "int", default=0, min=0),
         Field("cold_ms", "float", default=0.0, min=0.0),
+        Field("sequence", "int", default=0, min=0),
     )
 
     def __init__(
@@ -290,6 +298,7 @@
         state="live",
         started_ms=0,
         cold_ms=0.0,
+        sequence=0,
     ):
         super().__init__()
         self.server_id = server_id
@@ -302,6 +311,7 @@
         self.state = state
         self.started_ms = started_ms
         self.cold_ms = cold_ms
+        self.sequence = sequence
 
 
 class LiveList(Record):
