Do not take a nameless refusal on a kept connection for the request's own

What callers could see: a faulty server writes the refusal of an earlier request once more; when it names no request, it was taken for the refusal of the next one, and the caller was told 503, not run, of a request that the server then ran. Requests that may not be repeated were not affected: each uses a new connection.

Cause: a response without the request's id was accepted if it refused, as a server may refuse before it reads the id. On a connection that carried a request before, it may belong to that one. Class: state of a connection taken for state of a request.

Such a refusal now ends the attempt with an unknown outcome.

--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -135,7 +135,7 @@
     entry = backend.entry
     address = (entry.host, entry.port)
     now = time.monotonic()
-    stream = None
+    stream, is_reused = None, True
     if route.idempotent:
         stream = serverpool.acquire_connection(
             front.pool, entry.server_id, address, now
@@ -146,10 +146,12 @@
         except (OSError, TimeoutError):
             return Outcome.UNREACHED, None
         front.pool.opened += 1
+        is_reused = False
     finished = False
     try:
         call = _start_call(front, req, stream, entry, deadline)
-        response = await httpcall.read_response(call, _response_matcher(front, req))
+        matches = _response_matcher(front, req, is_reused)
+        response = await httpcall.read_response(call, matches)
         finished = True
     except (ConnectionError, httpcall.InvalidResponseError) as exc:
         log_event(
@@ -181,8 +183,12 @@
     return Outcome.ANSWERED
 
 
-def _response_matcher(front, req):
-    """Returns a predicate on status and headers: whether they answer the request."""
+def _response_matcher(front, req, is_reused):
+    """Returns a predicate on status and headers: whether they answer the request.
+
+    The predicate raises InvalidResponseError for a refusal that may belong to an
+    earlier request of a reused connection.
+    """
     names = front.header_names
 
     def matches(status, headers):
@@ -190,7 +196,10 @@
         if echoed is not None:
             return echoed == req.request_id
         # A server may reject a request before it reads the request's id.
-        return status == 421 or header(headers, names.not_run) is not None
+        refuses = status == 421 or header(headers, names.not_run) is not None
+        if refuses and is_reused:
+            raise httpcall.InvalidResponseError("a refusal without a request id")
+        return refuses
 
     return matches
 
--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -22,6 +22,8 @@
 SOUND_BODY = b"the whole body"
 RESET = None
 """Piece at which a server resets the connection."""
+CLOSE = "close"
+"""Piece at which a server closes the connection."""
 PIECE_BYTES = 1 << 16
 TRICKLE_S = 0.02
 WAIT_S = 5.0
@@ -36,15 +38,26 @@
         server: asyncio server.
         script: Function of the request id that returns an iterable of bytes or RESET.
         pause_s: Pause after each piece (s).
+        keep_open: Whether it answers further requests on a connection.
         requests: Number of requests received.
         closed: Event that is set when a caller has closed its connection.
         tasks: Set of the tasks that serve a connection.
     """
 
-    __slots__ = ("closed", "pause_s", "port", "requests", "script", "server", "tasks")
+    __slots__ = (
+        "closed",
+        "keep_open",
+        "pause_s",
+        "port",
+        "requests",
+        "script",
+        "server",
+        "tasks",
+    )
 
-    def __init__(self, script, pause_s):
+    def __init__(self, script, pause_s, keep_open=False):
         self.script = script
+        self.keep_open = keep_open
         self.pause_s = pause_s
         self.requests = 0
         self.closed = asyncio.Event()
@@ -59,33 +72,53 @@
     closed.set()
 
 
+def _request_id(head):
+    """Returns the id of a request from its head (bytes)."""
+    pairs = (line.partition(b": ") for line in head.split(b"\r\n"))
+    return {name.lower(): value for name, _, value in pairs}[b"request-id"]
+
+
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
-async def start_server(script, pause_s=0.0):
-    state = TroubledServer(script, pause_s)
+async def start_server(script, pause_s=0.0, keep_open=False):
+    state = TroubledServer(script, pause_s, keep_open)
 
     async def serve(reader, writer):
         state.tasks.add(asyncio.current_task())
         try:
-            await serve_request(reader, writer)
+            if state.keep_open:
+                await serve_kept(reader, writer)
+            else:
+                await serve_request(reader, writer)
         finally:
             state.tasks.discard(asyncio.current_task())
             writer.transport.abort()
 
+    async def serve_kept(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                state.requests += 1
+                for piece in state.script(_request_id(head)):
+                    if piece is CLOSE:
+                        return
+                    writer.write(piece)
+
     async def serve_request(reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        head = await reader.readuntil(b"\r\n\r\n")
         state.requests += 1
-        pairs = (line.partition(": ") for line in head.split("\r\n"))
-        fields = {name.lower(): value for name, _, value in pairs}
         watcher = asyncio.create_task(_wait_closed(reader, state.closed))
         with contextlib.suppress(ConnectionError):
-            for piece in state.script(fields["request-id"].encode()):
+            for piece in state.script(_request_id(head)):
                 if watcher.done():
                     break
+                if piece is CLOSE:
+                    writer.close()
+                    return
                 if piece is RESET:
                     _reset(writer)
                     break
@@ -175,9 +208,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(script, pause_s=0.0, with_sound=True):
+async def run_site(script, pause_s=0.0, with_sound=True, keep_open=False):
     site = Site()
-    site.failed = await start_server(script, pause_s)
+    site.failed = await start_server(script, pause_s, keep_open)
     site.sound = await start_server(sound) if with_sound else None
     servers = [s for s in (site.failed, site.sound) if s is not None]
     names = (FAILED, SOUND)
