Take a request in a planned stop only if it can end before the process

Callers saw: a request that arrived late in the grace of a stop was passed on and cut without an answer when the process ended, bookings among them.

Class: work that is accepted without the time to end it.

--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -67,9 +67,12 @@
     trace.route = route.name
     trace.service = routetable.pick_service(route, req.request_id) or ""
     now = time.monotonic()
+    deadline = min(req.deadline_at, req.received_at + route.timeout_ms / 1000.0)
+    if deadline + DEADLINE_GRACE_S > front.exit_at:
+        detail = "the instance stops before the request could end"
+        return Error(_retryable_fault(front, ResultCode.DRAINING, detail))
     windowbudget.record_request(retry_budget_for(front, trace.service), now)
     trace.shed = admission.should_shed(front.view.backends, trace.service, now)
-    deadline = min(req.deadline_at, req.received_at + route.timeout_ms / 1000.0)
     try:
         async with asyncio.timeout(deadline + DEADLINE_GRACE_S - time.monotonic()):
             return await _run_attempts(front, req, route, trace, deadline)
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -127,14 +127,14 @@
     """Deregisters the instance, closes the listeners and drains the connections."""
     started = time.monotonic()
     front.stopping = True
+    front.exit_at = started + front.cfg.grace_s - EXIT_MARGIN_S
     log_event(front.log, "stopping", connections=len(front.connections))
     registration_task.cancel()
-    grace_s = front.cfg.grace_s
-    await asyncio.sleep(grace_s * ACCEPT_SHARE)
+    await asyncio.sleep(front.cfg.grace_s * ACCEPT_SHARE)
     for listener in listeners:
         listener.close()
     callers.close_idle(front)
-    while front.connections and time.monotonic() - started < grace_s - EXIT_MARGIN_S:
+    while front.connections and time.monotonic() < front.exit_at:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         callers.close_idle(front)
     log_event(front.log, "stopped", unfinished=len(front.connections))
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import time
 
@@ -220,6 +221,8 @@
             grants (s, monotonic).
         rng: Random number generator for jitter.
         stopping: Whether the stop signal has arrived.
+        exit_at: Time at which the process ends in a planned stop (s, monotonic);
+            infinite before the stop signal.
         incarnation: Start of the process (ms since the epoch).
         started_at: Start of the process (s, monotonic).
         tasks: Set of background tasks.
@@ -229,6 +232,7 @@
         "affinity_cache",
         "cfg",
         "connections",
+        "exit_at",
         "failed_grantors",
         "grant_links",
         "header_names",
@@ -264,6 +268,7 @@
         self.failed_grantors = {}
         self.rng = random.Random()
         self.stopping = False
+        self.exit_at = math.inf
         self.started_at = time.monotonic()
         self.incarnation = int(time.time() * 1000)
         self.tasks = set()
