Keep servers in use whose entry in a restored copy is an older report

Such an entry was ignored and then counted as missing from the copy, so that a live server was dropped after 2 s unless it had written again by then. The known entry now stays until the store ends it. The new test failed on (server_gone) and passes. Also a policy that is written again unchanged ends its pending removal.

--- a/integration/test_restored_store.py
+++ b/integration/test_restored_store.py
@@ -163,6 +163,23 @@
     assert len(events(fronts[0], "server_gone")) == 1
 
 
+# Guards against a server in use that is dropped because the copy holds an older report.
+async def test_server_with_an_older_report_stays_in_use(platform):
+    server = await add_server(platform, "i-read-2", "reads")
+    fronts = await start_fronts(platform, 1)
+    copy = take_copy(platform.store)
+    put_server(platform, server, "reads", sequence=2)
+    await asyncio.sleep(REWRITE_S / 2.0)
+    await restore(platform, fronts, copy)
+    await wait_until(lambda: not store_is_lost(fronts[0]))
+    await asyncio.sleep(2.0 * REWRITE_S)
+    assert events(fronts[0], "entry_obsolete")
+    assert not events(fronts[0], "server_gone")
+    # The store ends its entry in the end.
+    remove_item(platform.store, "servers/i-read-2")
+    await wait_until(lambda: events(fronts[0], "server_gone"))
+
+
 # Guards against an evacuation that the restored copy undoes.
 async def test_evacuation_outlasts_a_restored_copy(platform):
     fronts = await start_fronts(platform, 1)
--- a/packages/front/src/flamingolift_front/limitgrants.py
+++ b/packages/front/src/flamingolift_front/limitgrants.py
@@ -18,7 +18,7 @@
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.responses import binary_response, problem_response
 
-__all__ = ["observe_answer", "obtain_grant", "serve_grant"]
+__all__ = ["close_ended_links", "observe_answer", "obtain_grant", "serve_grant"]
 
 GRANT_TIMEOUT_S = 0.3
 """Longest time for a grantor's reply (s): a connection and a round trip between
@@ -170,7 +170,7 @@
         "take": int(take),
     }
     address = (entry.host, entry.peer_port)
-    idle = front.grant_links.setdefault(address, [])
+    idle = front.grant_links.get(address)
     link = idle.pop() if idle else peerlink.PeerLink(address)
     with peerlink.failures_as_peer_errors(link):
         async with asyncio.timeout(GRANT_TIMEOUT_S):
@@ -182,6 +182,7 @@
         reply = from_plain(GrantReply, msgpack.unpackb(response.body))
         if reply.is_error():
             raise ValueError(reply.error[0].detail)
+    idle = front.grant_links.setdefault(address, [])
     if httpcall.is_reusable(call) and len(idle) < MAX_IDLE_LINKS:
         idle.append(link)
     else:
@@ -258,3 +259,19 @@
 
 def _encode_reply(reply):
     return binary_response(200, msgpack.packb(to_plain(reply)))
+
+
+def close_ended_links(front):
+    """Forgets the connections that grantors closed, and grantors that failed long ago.
+
+    Args:
+        front: Front.
+    """
+    now = time.monotonic()
+    for address, idle in list(front.grant_links.items()):
+        idle[:] = [link for link in idle if not link.stream.ended]
+        if not idle:
+            del front.grant_links[address]
+    for name, until in list(front.failed_grantors.items()):
+        if until < now:
+            del front.failed_grantors[name]
--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -15,7 +15,7 @@
 
 from flamingolift_front import peerlink, peersync
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.viewsync import is_behind_era
+from flamingolift_front.viewera import is_behind_era
 
 __all__ = ["FollowingEnd", "current_relays", "follow_relays"]
 
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from flamingolift_front import callers, lookups, loopwatch, serverpool
+from flamingolift_front import callers, limitgrants, lookups, loopwatch, serverpool
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.eventlog import flush_log, log_event
 from flamingolift_front.internalapi import handle_internal
@@ -121,6 +121,7 @@
     while True:
         await asyncio.sleep(POOL_SWEEP_INTERVAL_S)
         serverpool.close_expired(front.pool, time.monotonic())
+        limitgrants.close_ended_links(front)
 
 
 async def _shut_down(front, listeners, registration_task):
--- a/packages/front/src/flamingolift_front/tests/test_limitgrants.py
+++ b/packages/front/src/flamingolift_front/tests/test_limitgrants.py
@@ -220,6 +220,24 @@
         return ""
 
 
+# Guards against connections to instances that are gone, which would add up.
+async def test_connections_that_a_grantor_closed_are_forgotten(change):
+    async with run_members(change, 3) as members:
+        answer(members[0], "40")
+        await wait_until(
+            lambda: all(serverlimits.is_limited(m.backend) for m in members)
+        )
+        await ask(members[2])
+        front = members[2].front
+        links = [link for idle in front.grant_links.values() for link in idle]
+        assert links
+        for task in list(members[0].front.tasks):
+            task.cancel()
+        await wait_until(lambda: all(link.stream.ended for link in links))
+        limitgrants.close_ended_links(front)
+        assert not front.grant_links
+
+
 async def test_malformed_question_is_refused(change):
     async with run_members(change, 1) as members:
         for query in ({"server": "i-1", "started": "5", "age_ms": "x"}, {}):
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -18,14 +18,13 @@
 from flamingolift_front import serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.state import ViewChange
+from flamingolift_front.viewera import is_behind_era, is_obsolete
 
 __all__ = [
     "apply_changes",
     "apply_snapshot",
     "call_store",
     "follow_store",
-    "is_behind_era",
-    "note_era",
 ]
 
 MAX_RECENT_CHANGES = 2000
@@ -81,42 +80,6 @@
     return result
 
 
-def note_era(front, era):
-    """Records the era of the store that an answer names.
-
-    Args:
-        front: Front.
-        era: Number of the era.
-
-    Returns:
-        False when the answer is of an earlier era and must not be used.
-    """
-    view = front.view
-    if era > view.era:
-        position = -1 if view.revision is None else view.revision
-        if view.era:
-            log_event(
-                front.log,
-                "store_era_changed",
-                era=era,
-                before=view.era,
-                position=position,
-            )
-            # A watch may wait for changes after a revision that is given out again.
-            front.store.abort_watch()
-        view.era = era
-        view.era_changed.set()
-        view.era_changed = asyncio.Event()
-        view.changed.set()
-        view.changed = asyncio.Event()
-    return era >= view.era
-
-
-def is_behind_era(view):
-    """Returns whether a view holds data of an earlier era than the store's latest."""
-    return view.revision is not None and era_of(view.revision) < view.era
-
-
 async def follow_store(front, max_wait_s):
     """Applies one batch of changes from the store, or a snapshot at first.
 
@@ -168,9 +131,13 @@
     """
     view = front.view
     is_new_era = era_of(revision) > view.applied_era and bool(view.documents)
+    kept = set()
     if is_new_era:
-        items = [i for i in items if not _is_obsolete(front, i, revision)]
-    present = {item.key for item in items}
+        obsolete = {i.key for i in items if is_obsolete(front, i, revision)}
+        items = [item for item in items if item.key not in obsolete]
+        # The store holds an older report of these, so they are not missing.
+        kept = obsolete & set(view.documents)
+    present = kept | {item.key for item in items}
     removals = [
         ViewChange(key, None, revision) for key in view.documents if key not in present
     ]
@@ -219,9 +186,9 @@
             if change.key in view.documents:
                 _remove_or_defer(front, change.key, defer, is_new_era)
             continue
+        view.pending_removals.pop(change.key, None)
         if _is_superseded(front, change):
             continue
-        view.pending_removals.pop(change.key, None)
         view.gone.pop(change.key, None)
         view.documents[change.key] = change.document
         _APPLY[type(change.document)](front, change, source)
@@ -267,40 +234,6 @@
     return policy.number < table.number
 
 
-def _is_obsolete(front, item, revision):
-    """Returns whether an item of a restored copy is older than what is known.
-
-    An older report of a server, such as one from before it began to leave, or an entry
-    that was removed, counts again only when it has been written again.
-    """
-    view, document = front.view, item.document
-    known = view.documents.get(item.key)
-    _removed_at, gone = view.gone.get(item.key, (0.0, None))
-    if isinstance(document, BackendEntry):
-        is_obsolete = _is_earlier(document, known) or _is_earlier_or_same(
-            document, gone
-        )
-    elif isinstance(document, InstanceEntry):
-        is_obsolete = known is None and document == gone
-    else:
-        is_obsolete = False
-    if is_obsolete:
-        log_event(front.log, "entry_obsolete", key=item.key, revision=revision)
-    return is_obsolete
-
-
-def _is_earlier(entry, known):
-    return (
-        isinstance(known, BackendEntry)
-        and entry.started_ms == known.started_ms
-        and entry.sequence < known.sequence
-    )
-
-
-def _is_earlier_or_same(entry, known):
-    return entry == known or _is_earlier(entry, known)
-
-
 def _apply_policy(front, change, source):
     policy = change.document
     view = front.view
