Take a limit that ends during a question for a grant as ended

A request failed with its connection (TypeError in a caller's task) when the first grantor no longer coordinated the server but knew that its limit had ended, and the asking instance was the deputy. Found on reading the diff. Background tasks that tell peers of limits now log their failures, by the function that run.py had for its own tasks.

--- a/packages/front/src/flamingolift_front/limitgrants.py
+++ b/packages/front/src/flamingolift_front/limitgrants.py
@@ -15,6 +15,7 @@
 from flamingolift_model.grants import GrantReply
 
 from flamingolift_front import httpcall, peerlink
+from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.responses import binary_response, problem_response
 
@@ -90,9 +91,7 @@
         peers = serverlimits.grantors(backend.entry, front.view.instances.values())
     else:
         return
-    task = asyncio.ensure_future(_tell(front, backend, list(peers)))
-    front.tasks.add(task)
-    task.add_done_callback(front.tasks.discard)
+    start_task(front, _tell(front, backend, list(peers)))
 
 
 async def obtain_grant(front, backend, trace):
@@ -121,6 +120,9 @@
     """Returns the instance that decided, empty for none, and the time to wait (s)."""
     instances = front.view.instances.values()
     for rank, entry in enumerate(serverlimits.grantors(backend.entry, instances)):
+        if not serverlimits.is_limited(backend):
+            # The limit ended while a grantor was asked.
+            return entry.instance_id, 0.0
         if entry.instance_id == front.cfg.instance_id:
             return entry.instance_id, _take_own(front, backend, rank)
         if time.monotonic() < front.failed_grantors.get(entry.instance_id, 0.0):
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -6,6 +6,7 @@
 import time
 
 from flamingolift_front import callers, limitgrants, lookups, loopwatch, serverpool
+from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.eventlog import flush_log, log_event
 from flamingolift_front.internalapi import handle_internal
@@ -51,8 +52,8 @@
         _close_idle_connections,
         loopwatch.watch_loop,
     ):
-        _start_task(front, _run_forever(front, function))
-    registration_task = _start_task(front, maintain_registration(front))
+        start_task(front, _run_forever(front, function))
+    registration_task = start_task(front, maintain_registration(front))
     gc.collect()
     gc.freeze()
     log_event(front.log, "started", incarnation=front.incarnation)
@@ -70,20 +71,6 @@
         await asyncio.sleep(RESTART_PAUSE_S)
 
 
-def _start_task(front, coroutine):
-    task = asyncio.get_running_loop().create_task(coroutine)
-    front.tasks.add(task)
-    task.add_done_callback(lambda done: _on_task_done(front, done))
-    return task
-
-
-def _on_task_done(front, task):
-    front.tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        cause = repr(task.exception())
-        log_event(front.log, "task_failed", task=task.get_name(), cause=cause)
-
-
 async def _listen(front, lookup_handler, ready_handler):
     cfg = front.cfg
     handlers = {
@@ -105,7 +92,7 @@
 
 
 def _control_opener(front, handler):
-    return lambda stream: _start_task(
+    return lambda stream: start_task(
         front, lookups.serve_control(front, stream, handler)
     )
 
--- a/packages/front/src/flamingolift_front/tests/test_limitgrants.py
+++ b/packages/front/src/flamingolift_front/tests/test_limitgrants.py
@@ -238,6 +238,22 @@
         assert not front.grant_links
 
 
+# Guards against a request that fails because the limit ended while it asked.
+async def test_limit_that_ends_during_the_question_is_none(change):
+    async with run_members(change, 2) as members:
+        answer(members[0], "0.1")
+        await wait_until(
+            lambda: all(serverlimits.is_limited(m.backend) for m in members)
+        )
+        former, deputy = members
+        # The former coordinator is leaving the list and knows that the limit ended.
+        del former.front.view.instances[former.entry.instance_id]
+        serverlimits.record_limit(former.backend, None, time.monotonic() + 0.05)
+        await asyncio.sleep(0.1)
+        assert (await ask(deputy))[0]
+        assert not serverlimits.is_limited(deputy.backend)
+
+
 async def test_malformed_question_is_refused(change):
     async with run_members(change, 1) as members:
         for query in ({"server": "i-1", "started": "5", "age_ms": "x"}, {}):
