Count how requests that were read whole end, and log those left unanswered

Neither logs nor metrics told whether an instance closed a caller's connection with a whole request in progress, or with bytes in its buffer that it had not read, and why. Now requests_read and request_ends count both sides, and request_unanswered and bytes_unread name the request and the cause. No change of logic; the tests of the front pass.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -40,9 +40,11 @@
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
         closing: Whether the connection closes after the current response.
+        req: CallerRequest that was read whole and has no complete answer yet, or
+            None.
     """
 
-    __slots__ = ("busy", "closing", "parser", "stream", "task")
+    __slots__ = ("busy", "closing", "parser", "req", "stream", "task")
 
     def __init__(self, stream, parser):
         self.stream = stream
@@ -50,6 +52,7 @@
         self.task = None
         self.busy = False
         self.closing = False
+        self.req = None
 
 
 def accept_caller(front, stream):
@@ -82,22 +85,45 @@
 
 async def _serve(front, conn):
     """Serves requests until the connection ends."""
+    cause = "idle"
     try:
         while not conn.closing and await _serve_one(front, conn):
             conn.busy = False
             conn.parser.start_next_cycle()
     except (ConnectionError, h11.LocalProtocolError) as exc:
-        log_event(front.log, "caller_lost", cause=str(exc) or type(exc).__name__)
+        cause = str(exc) or type(exc).__name__
+        log_event(front.log, "caller_lost", cause=cause)
     except asyncio.CancelledError:
         # The caller disconnected, or the instance is stopping.
-        pass
+        cause = "cancelled"
     except Exception as exc:
-        log_event(front.log, "task_failed", task="caller", cause=repr(exc))
+        cause = repr(exc)
+        log_event(front.log, "task_failed", task="caller", cause=cause)
     finally:
+        _record_end(front, conn, cause)
         front.connections.discard(conn)
         bytestream.close(conn.stream)
 
 
+def _record_end(front, conn, cause):
+    """Records a request, or bytes of one, that this instance leaves unanswered."""
+    by_caller = conn.stream.ended
+    if conn.req is not None:
+        end = "caller_left" if by_caller else "unanswered"
+        front.metrics.request_ends.labels(end).inc()
+    if by_caller:
+        return
+    if conn.req is not None:
+        age_ms = round((time.monotonic() - conn.req.received_at) * 1000.0, 1)
+        request_id = conn.req.request_id
+        log_event(
+            front.log, "request_unanswered", id=request_id, cause=cause, age_ms=age_ms
+        )
+    unread = len(conn.stream.buffer) + len(conn.parser.trailing_data[0])
+    if unread:
+        log_event(front.log, "bytes_unread", bytes=unread, cause=cause)
+
+
 async def _serve_one(front, conn):
     """Serves one request; returns whether the connection stays open."""
     received = await _read_request(front, conn)
@@ -106,7 +132,11 @@
         return False
     if received.ok is None:
         return False
-    await _handle_request(front, conn, received.ok)
+    conn.req = received.ok
+    front.metrics.requests_read.inc()
+    end = await _handle_request(front, conn, conn.req)
+    front.metrics.request_ends.labels(end).inc()
+    conn.req = None
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
 
@@ -232,12 +262,17 @@
 
 
 async def _handle_request(front, conn, req):
-    """Forwards a request and sends the response to the caller."""
+    """Forwards a request and sends the response to the caller.
+
+    Returns:
+        "answered" with a server's response, "refused" with one of the instance, or
+        "caller_left".
+    """
     trace = Trace()
     task = asyncio.current_task()
     conn.stream.on_end = task.cancel
     if conn.stream.ended:
-        return
+        return "caller_left"
     try:
         result = await forwarding.forward(front, req, trace)
     except asyncio.CancelledError:
@@ -250,9 +285,10 @@
         status = RESULT_CODE_INFO[fault.code].status
         _log_request(front, req, trace, fault.code.name, status, fault.detail)
         await _send_response(front, conn, problem_response(fault), req.method)
-        return
+        return "refused"
     _log_request(front, req, trace, "answered", result.ok.response.status)
     await _relay_response(front, conn, req, result.ok)
+    return "answered"
 
 
 def _log_request(front, req, trace, outcome, status, detail=""):
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -19,6 +19,10 @@
         registry: CollectorRegistry.
         requests: Counter by route and outcome: answered, caller_left, or the name of
             the result code.
+        requests_read: Counter of the callers' requests that were read whole.
+        request_ends: Counter of their ends: answered by a server, refused by this
+            instance, caller_left, or unanswered when this instance closed the
+            connection. What is missing to `requests_read` is in progress.
         latency: Histogram of the response time by service (s).
         sends: Counter of sends to backend servers by service and outcome.
         first_sends: Counter of first sends by service and whether the server is the
@@ -41,7 +45,9 @@
         "loop_delay",
         "peer_bytes",
         "registry",
+        "request_ends",
         "requests",
+        "requests_read",
         "sends",
         "store_calls",
     )
@@ -54,6 +60,17 @@
             ("route", "code"),
             registry=registry,
         )
+        self.requests_read = Counter(
+            "flamingolift_requests_read",
+            "Callers' requests that were read whole",
+            registry=registry,
+        )
+        self.request_ends = Counter(
+            "flamingolift_request_ends",
+            "How the requests that were read whole ended",
+            ("end",),
+            registry=registry,
+        )
         self.latency = Histogram(
             "flamingolift_request_seconds",
             "Time to the answer (s)",
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -15,6 +15,15 @@
         "task",
         "cause",
     ),
+    "request_unanswered": (
+        "id",
+        "cause",
+        "age_ms",
+    ),
+    "bytes_unread": (
+        "bytes",
+        "cause",
+    ),
     "log_lines_dropped": ("counts",),
     "store_lost": (
         "call",
