Move the reading of callers' requests to a module of its own

callers.py held the connection's task, the reading of requests and the relay of responses. The functions are moved unchanged; the tests of the front pass.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -6,29 +6,20 @@
 import time
 
 import h11
-from expression import Error, Ok, Result
-from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
-from flamingolift_model.routing import RequestLimits
+from flamingolift_model import RESULT_CODE_INFO
 
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.httpcall import header
+from flamingolift_front.requestreading import current_limits, read_request
 from flamingolift_front.requesttrace import Trace
 from flamingolift_front.responses import problem_response
-from flamingolift_front.sending import CallerRequest, Outcome
+from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
 
 __all__ = ["CallerConnection", "accept_caller", "close_idle"]
 
-IDLE_MARGIN_S = 1.0
-"""Time after the idle timeout before a connection is closed (s), so that a request
-that was sent before the timeout still finds the connection open."""
-DEFAULT_DEADLINE_S = 30.0
-"""Deadline of a request without a valid deadline header field (s)."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with a time of 0 s: closing the socket resets the connection."""
-_RESULT_CODES = {431: ResultCode.HEADER_TOO_LARGE, 413: ResultCode.TOO_LARGE}
-"""Map of the status that h11 suggests for an invalid request to its result code."""
 
 
 class CallerConnection:
@@ -62,7 +53,7 @@
         front: Front.
         stream: ByteStream that was accepted.
     """
-    limits = _limits(front)
+    limits = current_limits(front)
     parser = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
     )
@@ -78,11 +69,6 @@
             conn.task.cancel()
 
 
-def _limits(front):
-    table = front.view.table
-    return table.limits if table is not None else RequestLimits()
-
-
 async def _serve(front, conn):
     """Serves requests until the connection ends."""
     cause = "idle"
@@ -126,7 +112,7 @@
 
 async def _serve_one(front, conn):
     """Serves one request; returns whether the connection stays open."""
-    received = await _read_request(front, conn)
+    received = await read_request(front, conn)
     if received.is_error():
         await _send_response(front, conn, problem_response(received.error))
         return False
@@ -140,127 +126,6 @@
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
 
-async def _read_request(front, conn) -> Result:
-    """Reads one request.
-
-    Returns:
-        Ok with a CallerRequest, Ok with None when the caller closed the connection
-        or left it idle for too long, or Error with a Fault.
-    """
-    limits = _limits(front)
-    idle_s = limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_S
-    try:
-        async with asyncio.timeout(idle_s) as timer:
-            head = await _read_head(conn, timer, limits)
-    except TimeoutError:
-        if not conn.busy:
-            return Ok(None)
-        return Error(
-            Fault(ResultCode.REQUEST_TIMEOUT, "the request head did not arrive in time")
-        )
-    except h11.RemoteProtocolError as exc:
-        if not conn.busy:
-            return Ok(None)
-        code = _RESULT_CODES.get(exc.error_status_hint, ResultCode.BAD_REQUEST)
-        return Error(Fault(code, str(exc)))
-    if head is None:
-        return Ok(None)
-    received_at = time.monotonic()
-    if _head_size(head) > limits.max_header_bytes:
-        return Error(
-            Fault(
-                ResultCode.HEADER_TOO_LARGE, "the request head exceeds max_header_bytes"
-            )
-        )
-    try:
-        async with asyncio.timeout(idle_s):
-            body = await _read_body(conn, limits.max_body_bytes)
-    except TimeoutError:
-        return Error(
-            Fault(ResultCode.REQUEST_TIMEOUT, "the request body did not arrive in time")
-        )
-    except h11.RemoteProtocolError as exc:
-        return Error(Fault(ResultCode.BAD_REQUEST, str(exc)))
-    if body is None:
-        return Error(
-            Fault(ResultCode.TOO_LARGE, "the request body exceeds max_body_bytes")
-        )
-    return _build_request(front, head, body, received_at)
-
-
-async def _read_head(conn, timer, limits):
-    """Returns the h11 request, or None when the caller closed an idle connection."""
-    while True:
-        event = conn.parser.next_event()
-        if isinstance(event, h11.Request):
-            conn.busy = True
-            return event
-        if isinstance(event, h11.ConnectionClosed):
-            return None
-        data = await bytestream.read(conn.stream)
-        if data and not conn.busy:
-            conn.busy = True
-            loop = asyncio.get_running_loop()
-            timer.reschedule(loop.time() + limits.header_timeout_ms / 1000.0)
-        conn.parser.receive_data(data)
-
-
-def _head_size(head):
-    """Returns the smallest size that a request's head has on the wire (bytes)."""
-    fields = sum(len(n) + len(v) + len(b": \r\n") for n, v in head.headers.raw_items())
-    return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n") + fields
-
-
-async def _read_body(conn, max_bytes):
-    """Returns the body (bytes), or None when it exceeds the limit."""
-    body = bytearray()
-    while True:
-        event = conn.parser.next_event()
-        if isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > max_bytes:
-                return None
-        elif isinstance(event, h11.EndOfMessage):
-            return bytes(body)
-        else:
-            if conn.parser.they_are_waiting_for_100_continue:
-                continue_event = h11.InformationalResponse(status_code=100, headers=[])
-                bytestream.write(conn.stream, conn.parser.send(continue_event))
-            conn.parser.receive_data(await bytestream.read(conn.stream))
-
-
-def _build_request(front, head, body, received_at) -> Result:
-    headers = list(head.headers.raw_items())
-    names = front.header_names
-    request_id = header(headers, names.request_id)
-    if not request_id:
-        return Error(Fault(ResultCode.BAD_REQUEST, f"{names.request_id} is missing"))
-    remaining_ms = httpcall.parse_count(header(headers, names.deadline_ms, ""))
-    remaining_s = DEFAULT_DEADLINE_S if remaining_ms is None else remaining_ms / 1000.0
-    return Ok(
-        CallerRequest(
-            request_id,
-            bytes(head.method),
-            bytes(head.target),
-            headers,
-            body,
-            header(headers, "host", ""),
-            _cookie(headers, names.object_cookie),
-            received_at,
-            received_at + remaining_s,
-        )
-    )
-
-
-def _cookie(headers, name):
-    """Returns the value of a cookie, empty when it is missing."""
-    for part in header(headers, "cookie", "").split(";"):
-        key, _, value = part.strip().partition("=")
-        if key.lower() == name:
-            return value
-    return ""
-
-
 async def _handle_request(front, conn, req):
     """Forwards a request and sends the response to the caller.
 
--- /dev/null
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -0,0 +1,154 @@
+"""Reads callers' requests from their connections, within the limits of the policy."""
+
+import asyncio
+import time
+
+import h11
+from expression import Error, Ok, Result
+from flamingolift_model import Fault, ResultCode
+from flamingolift_model.routing import RequestLimits
+
+from flamingolift_front import bytestream, httpcall
+from flamingolift_front.httpcall import header
+from flamingolift_front.sending import CallerRequest
+
+__all__ = ["IDLE_MARGIN_S", "current_limits", "read_request"]
+
+IDLE_MARGIN_S = 1.0
+"""Time after the idle timeout before a connection is closed (s), so that a request
+that was sent before the timeout still finds the connection open."""
+DEFAULT_DEADLINE_S = 30.0
+"""Deadline of a request without a valid deadline header field (s)."""
+_RESULT_CODES = {431: ResultCode.HEADER_TOO_LARGE, 413: ResultCode.TOO_LARGE}
+"""Map of the status that h11 suggests for an invalid request to its result code."""
+
+
+def current_limits(front):
+    """Returns the RequestLimits in force."""
+    table = front.view.table
+    return table.limits if table is not None else RequestLimits()
+
+
+async def read_request(front, conn) -> Result:
+    """Reads one request.
+
+    Args:
+        front: Front.
+        conn: CallerConnection.
+
+    Returns:
+        Ok with a CallerRequest, Ok with None when the caller closed the connection
+        or left it idle for too long, or Error with a Fault.
+    """
+    limits = current_limits(front)
+    idle_s = limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_S
+    try:
+        async with asyncio.timeout(idle_s) as timer:
+            head = await _read_head(conn, timer, limits)
+    except TimeoutError:
+        if not conn.busy:
+            return Ok(None)
+        return Error(
+            Fault(ResultCode.REQUEST_TIMEOUT, "the request head did not arrive in time")
+        )
+    except h11.RemoteProtocolError as exc:
+        if not conn.busy:
+            return Ok(None)
+        code = _RESULT_CODES.get(exc.error_status_hint, ResultCode.BAD_REQUEST)
+        return Error(Fault(code, str(exc)))
+    if head is None:
+        return Ok(None)
+    received_at = time.monotonic()
+    if _head_size(head) > limits.max_header_bytes:
+        return Error(
+            Fault(
+                ResultCode.HEADER_TOO_LARGE, "the request head exceeds max_header_bytes"
+            )
+        )
+    try:
+        async with asyncio.timeout(idle_s):
+            body = await _read_body(conn, limits.max_body_bytes)
+    except TimeoutError:
+        return Error(
+            Fault(ResultCode.REQUEST_TIMEOUT, "the request body did not arrive in time")
+        )
+    except h11.RemoteProtocolError as exc:
+        return Error(Fault(ResultCode.BAD_REQUEST, str(exc)))
+    if body is None:
+        return Error(
+            Fault(ResultCode.TOO_LARGE, "the request body exceeds max_body_bytes")
+        )
+    return _build_request(front, head, body, received_at)
+
+
+async def _read_head(conn, timer, limits):
+    """Returns the h11 request, or None when the caller closed an idle connection."""
+    while True:
+        event = conn.parser.next_event()
+        if isinstance(event, h11.Request):
+            conn.busy = True
+            return event
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        data = await bytestream.read(conn.stream)
+        if data and not conn.busy:
+            conn.busy = True
+            loop = asyncio.get_running_loop()
+            timer.reschedule(loop.time() + limits.header_timeout_ms / 1000.0)
+        conn.parser.receive_data(data)
+
+
+def _head_size(head):
+    """Returns the smallest size that a request's head has on the wire (bytes)."""
+    fields = sum(len(n) + len(v) + len(b": \r\n") for n, v in head.headers.raw_items())
+    return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n") + fields
+
+
+async def _read_body(conn, max_bytes):
+    """Returns the body (bytes), or None when it exceeds the limit."""
+    body = bytearray()
+    while True:
+        event = conn.parser.next_event()
+        if isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > max_bytes:
+                return None
+        elif isinstance(event, h11.EndOfMessage):
+            return bytes(body)
+        else:
+            if conn.parser.they_are_waiting_for_100_continue:
+                continue_event = h11.InformationalResponse(status_code=100, headers=[])
+                bytestream.write(conn.stream, conn.parser.send(continue_event))
+            conn.parser.receive_data(await bytestream.read(conn.stream))
+
+
+def _build_request(front, head, body, received_at) -> Result:
+    headers = list(head.headers.raw_items())
+    names = front.header_names
+    request_id = header(headers, names.request_id)
+    if not request_id:
+        return Error(Fault(ResultCode.BAD_REQUEST, f"{names.request_id} is missing"))
+    remaining_ms = httpcall.parse_count(header(headers, names.deadline_ms, ""))
+    remaining_s = DEFAULT_DEADLINE_S if remaining_ms is None else remaining_ms / 1000.0
+    return Ok(
+        CallerRequest(
+            request_id,
+            bytes(head.method),
+            bytes(head.target),
+            headers,
+            body,
+            header(headers, "host", ""),
+            _cookie(headers, names.object_cookie),
+            received_at,
+            received_at + remaining_s,
+        )
+    )
+
+
+def _cookie(headers, name):
+    """Returns the value of a cookie, empty when it is missing."""
+    for part in header(headers, "cookie", "").split(";"):
+        key, _, value = part.strip().partition("=")
+        if key.lower() == name:
+            return value
+    return ""
