Serve requests that arrive while the event loop is blocked past a timeout

Callers saw: a whole request on a kept connection ended with the connection, without an answer or a refusal. Cause: the waits for a request, its head and its body cancelled their task when the time was up. One turn of the event loop first takes bytes from the sockets and then runs the timers that are due, so that after a block the request was in the buffer when its task was cancelled. Class: a timeout that does not look at what has arrived. Now the end of the wait looks at the buffer, and what has arrived is served.

test_unanswered_requests.py: both tests fail before (end of file without an answer, and 408 for a whole head), and pass now.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -1,6 +1,7 @@
 """TCP connections as byte streams that report the end of the connection."""
 
 import asyncio
+import contextlib
 import socket
 
 __all__ = [
@@ -13,7 +14,9 @@
     "flush",
     "peer_host",
     "read",
+    "read_before",
     "wait_readable",
+    "wait_readable_before",
     "write",
 ]
 
@@ -192,6 +195,42 @@
         stream.waiter = None
 
 
+async def wait_readable_before(stream, ends_at):
+    """Waits until bytes have arrived, the connection has ended, or a time is reached.
+
+    Args:
+        stream: ByteStream.
+        ends_at: End of the wait (s, monotonic).
+
+    Returns:
+        Whether there is something to read. Bytes that have arrived count even when
+        the event loop was blocked beyond the end of the wait.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout_at(ends_at):
+            await wait_readable(stream)
+    return bool(stream.buffer) or stream.ended
+
+
+async def read_before(stream, ends_at):
+    """Returns the bytes that have arrived, and waits for them until a time.
+
+    Args:
+        stream: ByteStream.
+        ends_at: End of the wait (s, monotonic).
+
+    Returns:
+        Bytes; empty at the peer's end of file.
+
+    Raises:
+        TimeoutError: Nothing has arrived by then.
+        ConnectionError: The connection broke off.
+    """
+    if not await wait_readable_before(stream, ends_at):
+        raise TimeoutError
+    return await read(stream)
+
+
 def extend_while_receiving(stream, timer, idle_s, total_s, on_data=None):
     """Extends a timeout as long as bytes arrive, until `stream.on_data` is reset.
 
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -1,6 +1,5 @@
 """Reads callers' requests from their connections, within the limits of the policy."""
 
-import asyncio
 import time
 
 import h11
@@ -42,12 +41,11 @@
     """
     limits = current_limits(front)
     idle_s = limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_S
+    if not await _wait_for_request(conn, time.monotonic() + idle_s):
+        return Ok(None)
     try:
-        async with asyncio.timeout(idle_s) as timer:
-            head = await _read_head(conn, timer, limits)
+        head = await _read_head(conn, limits)
     except TimeoutError:
-        if not conn.busy:
-            return Ok(None)
         return Error(
             Fault(ResultCode.REQUEST_TIMEOUT, "the request head did not arrive in time")
         )
@@ -66,8 +64,7 @@
             )
         )
     try:
-        async with asyncio.timeout(idle_s):
-            body = await _read_body(conn, limits.max_body_bytes)
+        body = await _read_body(conn, limits.max_body_bytes, received_at + idle_s)
     except TimeoutError:
         return Error(
             Fault(ResultCode.REQUEST_TIMEOUT, "the request body did not arrive in time")
@@ -81,8 +78,16 @@
     return _build_request(front, head, body, received_at)
 
 
-async def _read_head(conn, timer, limits):
+async def _wait_for_request(conn, ends_at):
+    """Returns whether a request began, or the caller left, before a time."""
+    if conn.parser.trailing_data[0]:
+        return True
+    return await bytestream.wait_readable_before(conn.stream, ends_at)
+
+
+async def _read_head(conn, limits):
     """Returns the h11 request, or None when the caller closed an idle connection."""
+    ends_at = time.monotonic() + limits.header_timeout_ms / 1000.0
     while True:
         event = conn.parser.next_event()
         if isinstance(event, h11.Request):
@@ -90,11 +95,8 @@
             return event
         if isinstance(event, h11.ConnectionClosed):
             return None
-        data = await bytestream.read(conn.stream)
-        if data and not conn.busy:
-            conn.busy = True
-            loop = asyncio.get_running_loop()
-            timer.reschedule(loop.time() + limits.header_timeout_ms / 1000.0)
+        data = await bytestream.read_before(conn.stream, ends_at)
+        conn.busy = conn.busy or bool(data)
         conn.parser.receive_data(data)
 
 
@@ -104,7 +106,7 @@
     return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n") + fields
 
 
-async def _read_body(conn, max_bytes):
+async def _read_body(conn, max_bytes, ends_at):
     """Returns the body (bytes), or None when it exceeds the limit."""
     body = bytearray()
     while True:
@@ -119,7 +121,8 @@
             if conn.parser.they_are_waiting_for_100_continue:
                 continue_event = h11.InformationalResponse(status_code=100, headers=[])
                 bytestream.write(conn.stream, conn.parser.send(continue_event))
-            conn.parser.receive_data(await bytestream.read(conn.stream))
+            data = await bytestream.read_before(conn.stream, ends_at)
+            conn.parser.receive_data(data)
 
 
 def _build_request(front, head, body, received_at) -> Result:
--- /dev/null
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -0,0 +1,93 @@
+"""Requests that were read whole and end without an answer or a refusal."""
+
+import asyncio
+import contextlib
+import time
+
+from flamingolift_front import requestreading
+from troubledserver import SOUND_BODY, run_site, sound
+
+IDLE_TIMEOUT_S = 0.5
+WAIT_S = 5.0
+"""Longest wait for what has no bound of its own (s)."""
+
+
+class Caller:
+    """A caller's open connection to a front.
+
+    Attributes:
+        reader: StreamReader.
+        writer: StreamWriter.
+    """
+
+    __slots__ = ("reader", "writer")
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+
+@contextlib.asynccontextmanager
+async def connect(site):
+    caller = Caller(*await asyncio.open_connection("127.0.0.1", site.port))
+    try:
+        yield caller
+    finally:
+        caller.writer.transport.abort()
+
+
+def send(caller, number, fields=""):
+    caller.writer.write(
+        f"GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
+        f"Request-Deadline-Ms: 2000\r\n{fields}\r\n".encode()
+    )
+
+
+async def read_answer(caller):
+    """Returns the status and the body of the next response."""
+    async with asyncio.timeout(WAIT_S):
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        lines = head.lower().split(b"\r\n")[1:-2]
+        fields = dict(line.split(b": ", 1) for line in lines)
+        body = await caller.reader.readexactly(int(fields[b"content-length"]))
+    return int(head.split()[1]), body
+
+
+async def exchange(caller, number, fields=""):
+    """Sends a request on a kept connection; returns the answer's status and body."""
+    send(caller, number, fields)
+    return await read_answer(caller)
+
+
+def run_sound_site():
+    return run_site(sound, with_sound=False, keep_open=True)
+
+
+def set_limits(site, **limits):
+    for name, value in limits.items():
+        setattr(site.front.view.table.limits, name, value)
+
+
+# Guards against a request that arrives while the instance is busy and the connection's
+# idle timeout ends: it was read whole, and the connection closed without an answer.
+async def test_request_that_arrives_before_the_idle_timeout_ends_is_answered():
+    async with run_sound_site() as site, connect(site) as caller:
+        set_limits(site, idle_timeout_ms=IDLE_TIMEOUT_S * 1000.0)
+        assert await exchange(caller, 1) == (200, SOUND_BODY)
+        await asyncio.sleep(IDLE_TIMEOUT_S)
+        send(caller, 2)
+        # Blocks the event loop of the front beyond the end of the timeout.
+        time.sleep(requestreading.IDLE_MARGIN_S + 0.2)
+        assert await read_answer(caller) == (200, SOUND_BODY)
+
+
+# Guards against a head that arrived in time, but is refused since the instance was busy
+# when its time ended.
+async def test_head_that_arrives_while_the_instance_is_busy_is_served():
+    async with run_sound_site() as site, connect(site) as caller:
+        set_limits(site, header_timeout_ms=300.0)
+        caller.writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n")
+        await asyncio.sleep(0.1)
+        caller.writer.write(b"Request-Id: q1\r\nRequest-Deadline-Ms: 2000\r\n\r\n")
+        time.sleep(0.4)
+        assert await read_answer(caller) == (200, SOUND_BODY)
