Apply the limits in force to callers' connections that are idle

Callers saw: a kept connection closed by an idle timeout that was no longer in force, and a request on it refused with 431 or 413 by a size limit of a former policy. Cause: each connection took the limits when its wait for the next request began, and its parser the limit of heads when it was accepted. Class: a decision on a copy of the policy that is older than the request. Now the idle timeout is compared when the wait ends, and the limits are taken when the request begins.

test_unanswered_requests.py: the two new tests fail before (end of file, and 431 for a head within the limit in force), and pass now.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -10,7 +10,7 @@
 
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.requestreading import current_limits, read_request
+from flamingolift_front.requestreading import read_request
 from flamingolift_front.requesttrace import Trace
 from flamingolift_front.responses import problem_response
 from flamingolift_front.sending import Outcome
@@ -28,6 +28,8 @@
     Attributes:
         stream: ByteStream.
         parser: h11 connection.
+        max_header_bytes: Largest head that the parser takes (bytes); None before the
+            first request.
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
         closing: Whether the connection closes after the current response.
@@ -35,11 +37,20 @@
             None.
     """
 
-    __slots__ = ("busy", "closing", "parser", "req", "stream", "task")
+    __slots__ = (
+        "busy",
+        "closing",
+        "max_header_bytes",
+        "parser",
+        "req",
+        "stream",
+        "task",
+    )
 
     def __init__(self, stream, parser):
         self.stream = stream
         self.parser = parser
+        self.max_header_bytes = None
         self.task = None
         self.busy = False
         self.closing = False
@@ -53,11 +64,7 @@
         front: Front.
         stream: ByteStream that was accepted.
     """
-    limits = current_limits(front)
-    parser = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-    )
-    conn = CallerConnection(stream, parser)
+    conn = CallerConnection(stream, h11.Connection(h11.SERVER))
     front.connections.add(conn)
     conn.task = asyncio.get_running_loop().create_task(_serve(front, conn))
 
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -11,7 +11,7 @@
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import CallerRequest
 
-__all__ = ["IDLE_MARGIN_S", "current_limits", "read_request"]
+__all__ = ["IDLE_MARGIN_S", "read_request"]
 
 IDLE_MARGIN_S = 1.0
 """Time after the idle timeout before a connection is closed (s), so that a request
@@ -22,7 +22,7 @@
 """Map of the status that h11 suggests for an invalid request to its result code."""
 
 
-def current_limits(front):
+def _current_limits(front):
     """Returns the RequestLimits in force."""
     table = front.view.table
     return table.limits if table is not None else RequestLimits()
@@ -39,10 +39,11 @@
         Ok with a CallerRequest, Ok with None when the caller closed the connection
         or left it idle for too long, or Error with a Fault.
     """
-    limits = current_limits(front)
-    idle_s = limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_S
-    if not await _wait_for_request(conn, time.monotonic() + idle_s):
+    if not await _wait_for_request(front, conn):
         return Ok(None)
+    # A policy may have changed the limits while the connection was idle.
+    limits = _current_limits(front)
+    _apply_header_limit(conn, limits)
     try:
         head = await _read_head(conn, limits)
     except TimeoutError:
@@ -64,7 +65,7 @@
             )
         )
     try:
-        body = await _read_body(conn, limits.max_body_bytes, received_at + idle_s)
+        body = await _read_body(conn, limits, received_at)
     except TimeoutError:
         return Error(
             Fault(ResultCode.REQUEST_TIMEOUT, "the request body did not arrive in time")
@@ -78,11 +79,34 @@
     return _build_request(front, head, body, received_at)
 
 
-async def _wait_for_request(conn, ends_at):
-    """Returns whether a request began, or the caller left, before a time."""
+def _idle_time(limits):
+    return limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_S
+
+
+async def _wait_for_request(front, conn):
+    """Returns whether a request began, or the caller left, within the idle time."""
     if conn.parser.trailing_data[0]:
         return True
-    return await bytestream.wait_readable_before(conn.stream, ends_at)
+    idle_since = time.monotonic()
+    while True:
+        ends_at = idle_since + _idle_time(_current_limits(front))
+        if await bytestream.wait_readable_before(conn.stream, ends_at):
+            return True
+        if time.monotonic() >= idle_since + _idle_time(_current_limits(front)):
+            return False
+
+
+def _apply_header_limit(conn, limits):
+    """Replaces the parser of an idle connection when the limit of its heads changed."""
+    if conn.max_header_bytes == limits.max_header_bytes:
+        return
+    received, _ended = conn.parser.trailing_data
+    conn.max_header_bytes = limits.max_header_bytes
+    conn.parser = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
+    if received:
+        conn.parser.receive_data(received)
 
 
 async def _read_head(conn, limits):
@@ -106,14 +130,15 @@
     return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n") + fields
 
 
-async def _read_body(conn, max_bytes, ends_at):
+async def _read_body(conn, limits, received_at):
     """Returns the body (bytes), or None when it exceeds the limit."""
+    ends_at = received_at + _idle_time(limits)
     body = bytearray()
     while True:
         event = conn.parser.next_event()
         if isinstance(event, h11.Data):
             body += event.data
-            if len(body) > max_bytes:
+            if len(body) > limits.max_body_bytes:
                 return None
         elif isinstance(event, h11.EndOfMessage):
             return bytes(body)
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -5,6 +5,7 @@
 import time
 
 from flamingolift_front import requestreading
+from flamingolift_model.routing import RequestLimits
 from troubledserver import SOUND_BODY, run_site, sound
 
 IDLE_TIMEOUT_S = 0.5
@@ -64,8 +65,8 @@
 
 
 def set_limits(site, **limits):
-    for name, value in limits.items():
-        setattr(site.front.view.table.limits, name, value)
+    """Puts limits in force as a new policy does; the others have their defaults."""
+    site.front.view.table.limits = RequestLimits(**limits)
 
 
 # Guards against a request that arrives while the instance is busy and the connection's
@@ -91,3 +92,31 @@
         caller.writer.write(b"Request-Id: q1\r\nRequest-Deadline-Ms: 2000\r\n\r\n")
         time.sleep(0.4)
         assert await read_answer(caller) == (200, SOUND_BODY)
+
+
+# Guards against connections that are closed by an idle timeout that is no longer in
+# force, while callers still use them by the new one.
+async def test_longer_idle_timeout_applies_to_connections_that_are_idle():
+    async with run_sound_site() as site, connect(site) as caller:
+        set_limits(site, idle_timeout_ms=IDLE_TIMEOUT_S * 1000.0)
+        assert await exchange(caller, 1) == (200, SOUND_BODY)
+        set_limits(site, idle_timeout_ms=20000.0)
+        await asyncio.sleep(IDLE_TIMEOUT_S + requestreading.IDLE_MARGIN_S + 0.3)
+        assert await exchange(caller, 2) == (200, SOUND_BODY)
+
+
+# Guards against requests on kept connections that are refused by a size limit that is
+# no longer in force.
+async def test_raised_size_limits_apply_to_connections_that_are_idle():
+    async with run_sound_site() as site:
+        set_limits(site, max_header_bytes=500, max_body_bytes=3)
+        async with connect(site) as caller:
+            assert await exchange(caller, 1) == (200, SOUND_BODY)
+            await asyncio.sleep(0.05)
+            set_limits(site, max_header_bytes=4096, max_body_bytes=4096)
+            padding = f"X-Padding: {'a' * 2000}\r\n"
+            assert await exchange(caller, 2, padding) == (200, SOUND_BODY)
+            await asyncio.sleep(0.05)
+            set_limits(site, max_body_bytes=4097)
+            body = "Content-Length: 3000\r\n\r\n" + "b" * 2998
+            assert await exchange(caller, 3, body) == (200, SOUND_BODY)
