Let answers on kept connections count against an instance's own cut

An instance whose reads go over kept connections makes few new ones, so that three crashed servers would look like its own cut. Answers now count as reaching a server, and all services are found to be cut off only by failures since any server was reached. Unit tests pass; the decision is not used yet.

--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -26,6 +26,7 @@
     "relays",
     "routetable",
     "serverlimits",
+    "serverpaths",
     "servers",
     "shifts",
     "steering",
--- a/packages/decisions/src/flamingolift_decisions/serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/serverpaths.py
@@ -5,6 +5,8 @@
 cut off on its own, since its servers may stand behind another part of the network.
 """
 
+import math
+
 from expression import Nothing, Option, Some
 
 __all__ = [
@@ -33,11 +35,14 @@
             failed connect since a server of the service was reached (s, monotonic).
         cut_off_at: Map of service name to the time at which it was found to be cut off
             (s, monotonic).
+        reached_at: Time at which a server of any service was reached last (s,
+            monotonic).
     """
 
-    __slots__ = ("cut_off_at", "unreached")
+    __slots__ = ("cut_off_at", "reached_at", "unreached")
 
     def __init__(self):
+        self.reached_at = -math.inf
         self.unreached = {}
         self.cut_off_at = {}
 
@@ -62,8 +67,7 @@
     for times in paths.unreached.values():
         for name in [n for n, at in times.items() if at < now - EVIDENCE_S]:
             del times[name]
-    overall = sum(len(times) for times in paths.unreached.values())
-    if overall >= CUT_OFF_SERVERS_OVERALL and _count_services(paths) > 1:
+    if _is_cut_off_overall(paths):
         found = [*services, service]
     elif len(failed) >= CUT_OFF_SERVERS:
         found = [service]
@@ -74,25 +78,32 @@
     return Some(new) if new else Nothing
 
 
-def _count_services(paths):
-    return sum(bool(times) for times in paths.unreached.values())
+def _is_cut_off_overall(paths):
+    """Returns whether servers of several services failed and none was reached since."""
+    counts = [
+        sum(at > paths.reached_at for at in times.values())
+        for times in paths.unreached.values()
+    ]
+    return sum(counts) >= CUT_OFF_SERVERS_OVERALL and sum(map(bool, counts)) > 1
 
 
-def record_reached(paths, service) -> Option:
-    """Records that a server accepted a connection or answered on a new one.
+def record_reached(paths, service, now) -> Option:
+    """Records that a server accepted a connection or answered a request.
 
     Args:
         paths: ServerPaths.
         service: Service name.
+        now: Current time (s, monotonic).
 
     Returns:
         Some with the time at which the service was found to be cut off (s, monotonic)
         when it is no longer, or Nothing.
 
     Notes:
-        The evidence of the other services stays: each is found to be reachable by a
-        connect of its own.
+        The other services stay cut off: each is found to be reachable by a server of
+        its own.
     """
+    paths.reached_at = now
     if paths.unreached:
         paths.unreached.pop(service, None)
     cut_off_at = paths.cut_off_at.pop(service, None)
--- a/packages/decisions/src/flamingolift_decisions/tests/test_serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_serverpaths.py
@@ -36,7 +36,7 @@
     for number in range(20):
         fail(paths, "maps", number)
         fail(paths, "maps", number + 100)
-        record_reached(paths, "maps")
+        record_reached(paths, "maps", 0.0)
     assert not cut_off_services(paths)
 
 
@@ -55,11 +55,20 @@
     assert fail(paths, "rows", 1).value == list(SERVICES)
 
 
+def test_failures_before_a_server_was_reached_do_not_cut_off_all_services():
+    paths = ServerPaths()
+    fail(paths, "maps", 1, 1.0)
+    fail(paths, "reads", 1, 1.1)
+    fail(paths, "reads", 2, 1.2)
+    record_reached(paths, "books", 1.3)
+    assert fail(paths, "rows", 1, 1.4).is_none()
+
+
 def test_a_service_is_in_use_again_once_a_server_of_it_is_reached():
     paths = ServerPaths()
     for number in range(3):
         fail(paths, "maps", number, 5.0)
-    assert record_reached(paths, "reads").is_none()
-    assert record_reached(paths, "maps").value == 5.0
+    assert record_reached(paths, "reads", 6.0).is_none()
+    assert record_reached(paths, "maps", 6.0).value == 5.0
     assert not is_cut_off(paths, "maps")
-    assert record_reached(paths, "maps").is_none()
+    assert record_reached(paths, "maps", 6.0).is_none()
