Deliver answers that arrived while the event loop was blocked past a deadline

Callers saw: 504 although the server's answer had arrived, and servers counted as not reached, or peers as not answering, after the instance was busy for a moment, as while it decodes a large policy. Cause: as in the reading of requests, asyncio.timeout cancels in the turn of the event loop that takes the bytes, before the waiting task runs. Class: a timeout that does not look at what has arrived. time_limit ends a block 10 ms after its timer ran, so that the tasks woken in the same turn run first.

test_timelimit.py: the answer's and the connection's test fail before (504, TimeoutError) and pass now.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 
+from flamingolift_front.timelimit import time_limit
+
 __all__ = [
     "ByteStream",
     "PeerTimeoutError",
@@ -148,7 +150,7 @@
         OSError: The connection was refused or not made in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
+    async with time_limit(loop.time() + timeout_s):
         transport, stream = await loop.create_connection(ByteStream, host, port)
     if keepalive:
         sock = transport.get_extra_info("socket")
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -22,6 +22,7 @@
 from flamingolift_front.sending import UNKNOWN_OUTCOMES, Outcome, send_request
 from flamingolift_front.sendresults import record_send_result
 from flamingolift_front.state import response_times_for, retry_budget_for
+from flamingolift_front.timelimit import time_limit
 
 __all__ = ["forward"]
 
@@ -74,7 +75,7 @@
     windowbudget.record_request(retry_budget_for(front, trace.service), now)
     trace.shed = admission.should_shed(front.view.backends, trace.service, now)
     try:
-        async with asyncio.timeout(deadline + DEADLINE_GRACE_S - time.monotonic()):
+        async with time_limit(deadline + DEADLINE_GRACE_S):
             return await _run_attempts(front, req, route, trace, deadline)
     except TimeoutError:
         return Error(_timeout_fault(trace))
