Answer a request whose handling fails in the instance's own code

Callers saw: the connection closed without an answer or a refusal after a whole request. Cause: an exception in the task of a connection, or a response that h11 could not encode, closed the connection; the log had task_failed or caller_lost. Class: an end of a task that nobody reports to the caller. Now the caller gets 503 and INTERNAL_NOT_RUN when no send can have run the request, else 500 and INTERNAL; an answer that has begun is cut.

test_unanswered_requests.py: both cases of the new test failed before with the end of the connection (index out of range on the empty answer), and pass now.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -1,17 +1,18 @@
 """Callers' HTTP/1.1 connections: one task for each, one request at a time."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
 
 import h11
-from flamingolift_model import RESULT_CODE_INFO
+from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.requestreading import read_request
-from flamingolift_front.requesttrace import Trace
+from flamingolift_front.requesttrace import Trace, may_have_run
 from flamingolift_front.responses import problem_response
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
@@ -35,6 +36,8 @@
         closing: Whether the connection closes after the current response.
         req: CallerRequest that was read whole and has no complete answer yet, or
             None.
+        trace: Trace of that request.
+        responding: Whether bytes of the answer to it were sent.
     """
 
     __slots__ = (
@@ -43,8 +46,10 @@
         "max_header_bytes",
         "parser",
         "req",
+        "responding",
         "stream",
         "task",
+        "trace",
     )
 
     def __init__(self, stream, parser):
@@ -55,6 +60,8 @@
         self.busy = False
         self.closing = False
         self.req = None
+        self.trace = None
+        self.responding = False
 
 
 def accept_caller(front, stream):
@@ -83,7 +90,7 @@
         while not conn.closing and await _serve_one(front, conn):
             conn.busy = False
             conn.parser.start_next_cycle()
-    except (ConnectionError, h11.LocalProtocolError) as exc:
+    except ConnectionError as exc:
         cause = str(exc) or type(exc).__name__
         log_event(front.log, "caller_lost", cause=cause)
     except asyncio.CancelledError:
@@ -92,12 +99,47 @@
     except Exception as exc:
         cause = repr(exc)
         log_event(front.log, "task_failed", task="caller", cause=cause)
+        await _answer_failure(front, conn, cause)
     finally:
         _record_end(front, conn, cause)
         front.connections.discard(conn)
         bytestream.close(conn.stream)
 
 
+async def _answer_failure(front, conn, cause):
+    """Tells a caller that an error in this instance ended the request.
+
+    The parser may be in a state in which it sends no more, so another one encodes the
+    answer.
+    """
+    if conn.req is None or conn.stream.ended:
+        return
+    if conn.responding:
+        _cut_response(front, conn, conn.req, cause)
+        return
+    if may_have_run(conn.trace):
+        fault = Fault(ResultCode.INTERNAL, "the instance failed during the request")
+    else:
+        detail = "the instance failed before it sent the request to a server"
+        fault = forwarding.retryable_fault(front, ResultCode.INTERNAL_NOT_RUN, detail)
+    conn.parser = _make_answering_parser(conn.req.method)
+    status = RESULT_CODE_INFO[fault.code].status
+    _log_request(front, conn.req, conn.trace, fault.code.name, status, cause)
+    front.metrics.request_ends.labels("refused").inc()
+    req, conn.req = conn.req, None
+    with contextlib.suppress(ConnectionError):
+        await _send_response(front, conn, problem_response(fault), req.method)
+
+
+def _make_answering_parser(method):
+    """Returns an h11 connection that has read a request and closes after the answer."""
+    parser = h11.Connection(h11.SERVER)
+    parser.receive_data(method + b" / HTTP/1.1\r\nHost: -\r\nConnection: close\r\n\r\n")
+    while not isinstance(parser.next_event(), h11.EndOfMessage):
+        pass
+    return parser
+
+
 def _record_end(front, conn, cause):
     """Records a request, or bytes of one, that this instance leaves unanswered."""
     by_caller = conn.stream.ended
@@ -125,7 +167,7 @@
         return False
     if received.ok is None:
         return False
-    conn.req = received.ok
+    conn.req, conn.trace, conn.responding = received.ok, Trace(), False
     front.metrics.requests_read.inc()
     end = await _handle_request(front, conn, conn.req)
     front.metrics.request_ends.labels(end).inc()
@@ -140,7 +182,7 @@
         "answered" with a server's response, "refused" with one of the instance, or
         "caller_left".
     """
-    trace = Trace()
+    trace = conn.trace
     task = asyncio.current_task()
     conn.stream.on_end = task.cancel
     if conn.stream.ended:
@@ -244,7 +286,9 @@
     data = _encode_head(
         front, conn, response, httpcall.strip_hop_headers(response.headers)
     )
-    bytestream.write(conn.stream, data + conn.parser.send(h11.Data(data=response.body)))
+    data += conn.parser.send(h11.Data(data=response.body))
+    conn.responding = True
+    bytestream.write(conn.stream, data)
     async for chunk in httpcall.iter_body(forwarded.call):
         bytestream.write(conn.stream, conn.parser.send(h11.Data(data=chunk)))
         await bytestream.flush(conn.stream)
@@ -263,7 +307,9 @@
     data = _encode_head(front, conn, response, headers)
     if response.body and has_body:
         data += conn.parser.send(h11.Data(data=response.body))
-    bytestream.write(conn.stream, data + conn.parser.send(h11.EndOfMessage()))
+    data += conn.parser.send(h11.EndOfMessage())
+    conn.responding = True
+    bytestream.write(conn.stream, data)
     await bytestream.flush(conn.stream)
 
 
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -24,7 +24,7 @@
 from flamingolift_front.state import response_times_for, retry_budget_for
 from flamingolift_front.timelimit import time_limit
 
-__all__ = ["forward"]
+__all__ = ["forward", "retryable_fault"]
 
 DEADLINE_GRACE_S = 0.12
 """Time after the deadline during which a response is still accepted (s): covers a
@@ -56,7 +56,7 @@
     table = front.view.table
     if table is None:
         return Error(
-            _retryable_fault(
+            retryable_fault(
                 front, ResultCode.NOT_READY, "no routing policy has been read yet"
             )
         )
@@ -71,7 +71,7 @@
     deadline = min(req.deadline_at, req.received_at + route.timeout_ms / 1000.0)
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
-        return Error(_retryable_fault(front, ResultCode.DRAINING, detail))
+        return Error(retryable_fault(front, ResultCode.DRAINING, detail))
     windowbudget.record_request(retry_budget_for(front, trace.service), now)
     trace.shed = admission.should_shed(front.view.backends, trace.service, now)
     try:
@@ -92,7 +92,14 @@
     )
 
 
-def _retryable_fault(front, code, detail):
+def retryable_fault(front, code, detail):
+    """Returns the Fault of a request that did not run, with a random pause.
+
+    Args:
+        front: Front.
+        code: ResultCode.
+        detail: Sentence about the cause.
+    """
     pause_ms = front.rng.uniform(*RETRY_AFTER_S) * 1000.0
     return Fault(code, detail, retry_after_ms=pause_ms)
 
@@ -100,7 +107,7 @@
 def _overload_fault(front, trace, cause, now):
     mean = loads.mean_load(front.view.backends, trace.service, now)
     detail = f"{cause}; mean load {mean:.2f}"
-    return _retryable_fault(front, ResultCode.OVERLOADED, detail)
+    return retryable_fault(front, ResultCode.OVERLOADED, detail)
 
 
 async def _run_attempts(front, req, route, trace, deadline):
@@ -222,9 +229,7 @@
         detail = "no server accepted a connection"
     else:
         detail = "; ".join(e.reason for e in view.evacuations.values())
-    return _retryable_fault(
-        front, ResultCode.NO_BACKEND, detail or "no server is known"
-    )
+    return retryable_fault(front, ResultCode.NO_BACKEND, detail or "no server is known")
 
 
 async def _send(front, req, route, trace, backend, rank, deadline):
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -2,7 +2,9 @@
 
 from flamingolift_front.sending import Outcome
 
-__all__ = ["SendRecord", "Trace"]
+__all__ = ["SendRecord", "Trace", "may_have_run"]
+
+_NOT_RUN_OUTCOMES = (Outcome.UNREACHED, Outcome.NOT_RUN, Outcome.WRONG_SERVER)
 
 
 class SendRecord:
@@ -64,3 +66,12 @@
         self.shed = False
         self.unreached = 0
         self.withheld = []
+
+
+def may_have_run(trace):
+    """Returns whether a server may have run the request.
+
+    Args:
+        trace: Trace of a request whose sends have ended.
+    """
+    return any(send.outcome not in _NOT_RUN_OUTCOMES for send in trace.sends)
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -4,7 +4,8 @@
 import contextlib
 import time
 
-from flamingolift_front import requestreading
+import pytest
+from flamingolift_front import forwarding, requestreading, sending
 from flamingolift_model.routing import RequestLimits
 from troubledserver import SOUND_BODY, run_site, sound
 
@@ -120,3 +121,28 @@
             set_limits(site, max_body_bytes=4097)
             body = "Content-Length: 3000\r\n\r\n" + "b" * 2998
             assert await exchange(caller, 3, body) == (200, SOUND_BODY)
+
+
+def raise_error(*_args, **_kwargs):
+    raise ZeroDivisionError
+
+
+# Guards against a connection that just closes when the instance's own code fails; the
+# answer also tells truly whether the request may have run.
+@pytest.mark.parametrize(
+    ("module", "function", "status", "outcome"),
+    [
+        (forwarding.affinity, "pick_backend", 503, b"not-run"),
+        (sending.serverpool, "return_connection", 500, b"unknown"),
+    ],
+)
+async def test_error_in_the_instance_is_answered(
+    monkeypatch, module, function, status, outcome
+):
+    async with run_sound_site() as site, connect(site) as caller:
+        monkeypatch.setattr(module, function, raise_error)
+        send(caller, 1)
+        raw = await caller.reader.read()
+        assert raw.split()[1] == b"%d" % status
+        assert b"request-outcome: " + outcome in raw.lower()
+        assert b"connection: close" in raw.lower()
--- a/packages/model/src/flamingolift_model/codes.py
+++ b/packages/model/src/flamingolift_model/codes.py
@@ -50,6 +50,7 @@
     PEER_FRAME = 5102
     PEER_UNREACHABLE = 5103
     INTERNAL = 5900
+    INTERNAL_NOT_RUN = 5901
 
 
 class ResultCodeInfo:
@@ -224,4 +225,10 @@
     ResultCode.INTERNAL: ResultCodeInfo(
         500, 1, "unknown", "An unexpected fault; the log has its trace."
     ),
+    ResultCode.INTERNAL_NOT_RUN: ResultCodeInfo(
+        503,
+        1,
+        "no",
+        "An unexpected fault before the request was sent; the log has its trace.",
+    ),
 }
