Answer unfinished requests and send all bytes before the process ends

Callers saw, in a planned stop: a request still in progress at the end of the grace time, and the end of an answer that waited in the process's own buffer, were lost with the connection. Cause: a connection counted as done when its task had handed the bytes to the transport, and unfinished tasks were just cancelled with the process. Class: an end of a task that nobody reports to the caller. Now a connection counts as open until its last bytes have left, and before the exit the callers of unfinished requests get 503 and DRAINING when no send can have run the request, else 502 and BACKEND_FAILED.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -17,6 +17,7 @@
     "peer_host",
     "read",
     "read_before",
+    "wait_closed",
     "wait_readable",
     "wait_readable_before",
     "write",
@@ -46,6 +47,8 @@
         buffer: Bytes received and not yet read.
         waiter: Future of the task that waits for bytes, or None.
         writable: Future that is done when the send buffer has room, or None.
+        closing: Future of the task that waits until the connection is closed, or None.
+        closed: Whether the connection is closed, with all bytes sent or given up.
         ended: Whether the peer sent end of file or the connection is lost.
         error: Exception that ended the connection, or None.
         on_open: Function called with the stream when it is connected, or None.
@@ -55,6 +58,8 @@
 
     __slots__ = (
         "buffer",
+        "closed",
+        "closing",
         "ended",
         "error",
         "on_data",
@@ -70,6 +75,8 @@
         self.buffer = bytearray()
         self.waiter = None
         self.writable = None
+        self.closing = None
+        self.closed = False
         self.ended = False
         self.error = None
         self.on_open = on_open
@@ -104,6 +111,8 @@
         """Records the end of the connection; called by the event loop."""
         _mark_ended(self, exc)
         _wake(self.writable)
+        self.closed = True
+        _wake(self.closing)
 
     def pause_writing(self):
         """Makes `flush` wait while the buffer is full; called by the event loop."""
@@ -293,6 +302,13 @@
     stream.transport.close()
 
 
+async def wait_closed(stream):
+    """Waits until a connection that is being closed has sent its queued bytes."""
+    if not stream.closed:
+        stream.closing = asyncio.get_running_loop().create_future()
+        await stream.closing
+
+
 def abort(stream):
     """Closes a connection at once and discards its queued bytes."""
     stream.transport.abort()
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -17,7 +17,7 @@
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
 
-__all__ = ["CallerConnection", "accept_caller", "close_idle"]
+__all__ = ["CallerConnection", "accept_caller", "close_idle", "end_requests"]
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with a time of 0 s: closing the socket resets the connection."""
@@ -79,7 +79,14 @@
 def close_idle(front):
     """Closes the connections on which no request is in progress."""
     for conn in list(front.connections):
-        if not conn.busy and not conn.stream.buffer:
+        if not (conn.busy or conn.closing or conn.stream.buffer):
+            conn.task.cancel()
+
+
+def end_requests(front):
+    """Ends the requests in progress; their callers are told that it stops."""
+    for conn in list(front.connections):
+        if conn.req is not None:
             conn.task.cancel()
 
 
@@ -96,32 +103,49 @@
     except asyncio.CancelledError:
         # The caller disconnected, or the instance is stopping.
         cause = "cancelled"
+        codes = (ResultCode.DRAINING, ResultCode.BACKEND_FAILED)
+        await _answer_unfinished(front, conn, codes, "the instance stopped")
     except Exception as exc:
         cause = repr(exc)
         log_event(front.log, "task_failed", task="caller", cause=cause)
-        await _answer_failure(front, conn, cause)
+        codes = (ResultCode.INTERNAL_NOT_RUN, ResultCode.INTERNAL)
+        await _answer_unfinished(front, conn, codes, cause)
     finally:
         _record_end(front, conn, cause)
+        await _close(front, conn)
+
+
+async def _close(front, conn):
+    """Closes a connection, which counts as open until its last bytes have left."""
+    conn.closing = True
+    bytestream.close(conn.stream)
+    try:
+        await bytestream.wait_closed(conn.stream)
+    finally:
         front.connections.discard(conn)
-        bytestream.close(conn.stream)
 
 
-async def _answer_failure(front, conn, cause):
-    """Tells a caller that an error in this instance ended the request.
+async def _answer_unfinished(front, conn, codes, cause):
+    """Tells a caller how a request ended that has no complete answer.
 
     The parser may be in a state in which it sends no more, so another one encodes the
     answer.
+
+    Args:
+        front: Front.
+        conn: CallerConnection.
+        codes: ResultCode of a request that did not run, and of one that may have run.
+        cause: Why there is no answer of a server.
     """
-    if conn.req is None or conn.stream.ended:
+    if conn.req is None or conn.stream.ended or conn.stream.transport.is_closing():
         return
     if conn.responding:
         _cut_response(front, conn, conn.req, cause)
         return
     if may_have_run(conn.trace):
-        fault = Fault(ResultCode.INTERNAL, "the instance failed during the request")
+        fault = Fault(codes[1], f"{cause} during the request")
     else:
-        detail = "the instance failed before it sent the request to a server"
-        fault = forwarding.retryable_fault(front, ResultCode.INTERNAL_NOT_RUN, detail)
+        fault = forwarding.retryable_fault(front, codes[0], f"{cause} before a send")
     conn.parser = _make_answering_parser(conn.req.method)
     status = RESULT_CODE_INFO[fault.code].status
     _log_request(front, conn.req, conn.trace, fault.code.name, status, cause)
@@ -190,7 +214,8 @@
     try:
         result = await forwarding.forward(front, req, trace)
     except asyncio.CancelledError:
-        _log_request(front, req, trace, "caller_left", 0)
+        if conn.stream.ended:
+            _log_request(front, req, trace, "caller_left", 0)
         raise
     finally:
         conn.stream.on_end = None
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -21,7 +21,10 @@
 """Part of the grace time in which new connections are still accepted, so that callers
 with a cached look-up are served (ratio)."""
 EXIT_MARGIN_S = 0.4
-"""Part of the grace time that is reserved for the exit of the process (s)."""
+"""Part of the grace time that is reserved for the last answers and the exit of the
+process (s)."""
+LAST_ANSWERS_S = 0.2
+"""Time of that in which the callers of unfinished requests are answered (s)."""
 POOL_SWEEP_INTERVAL_S = 2.0
 """Interval at which expired idle connections are closed (s)."""
 RESTART_PAUSE_S = 0.5
@@ -58,7 +61,7 @@
     gc.freeze()
     log_event(front.log, "started", incarnation=front.incarnation)
     await stop.wait()
-    await _shut_down(front, listeners, registration_task)
+    await shut_down(front, listeners, registration_task)
 
 
 async def _run_forever(front, function):
@@ -111,8 +114,14 @@
         limitgrants.close_ended_links(front)
 
 
-async def _shut_down(front, listeners, registration_task):
-    """Deregisters the instance, closes the listeners and drains the connections."""
+async def shut_down(front, listeners, registration_task):
+    """Deregisters the instance, closes the listeners and drains the connections.
+
+    Args:
+        front: Front.
+        listeners: List of asyncio servers.
+        registration_task: Task of the registration.
+    """
     started = time.monotonic()
     front.stopping = True
     front.exit_at = started + front.cfg.grace_s - EXIT_MARGIN_S
@@ -125,5 +134,11 @@
     while front.connections and time.monotonic() < front.exit_at:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         callers.close_idle(front)
-    log_event(front.log, "stopped", unfinished=len(front.connections))
+    unfinished = sum(conn.req is not None for conn in front.connections)
+    callers.end_requests(front)
+    while front.connections and time.monotonic() < front.exit_at + LAST_ANSWERS_S:
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+    if front.connections:
+        log_event(front.log, "answers_unsent", connections=len(front.connections))
+    log_event(front.log, "stopped", unfinished=unfinished)
     flush_log(front.log)
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -38,10 +38,10 @@
         caller.writer.transport.abort()
 
 
-def send(caller, number, fields=""):
+def send(caller, number, fields="", deadline_ms=2000):
     caller.writer.write(
         f"GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
-        f"Request-Deadline-Ms: 2000\r\n{fields}\r\n".encode()
+        f"Request-Deadline-Ms: {deadline_ms}\r\n{fields}\r\n".encode()
     )
 
 
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -9,6 +9,7 @@
     "started": ("incarnation",),
     "stopping": ("connections",),
     "stopped": ("unfinished",),
+    "answers_unsent": ("connections",),
     "settings_reloaded": ("path",),
     "settings_rejected": ("details",),
     "task_failed": (
