Pass on streamed answers whose server names two framings

Cause: the length was passed on beside the chunked body, and h11 refused to send a body that contradicts it. Class: an answer that cannot be encoded for the caller. RFC 9112 lets the transfer coding override the length, which is now left out.

test_unanswered_requests.py: the new test failed before with 500, and passes now.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -11,6 +11,7 @@
 
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.httpcall import header
 from flamingolift_front.requestreading import read_request
 from flamingolift_front.requesttrace import Trace, may_have_run
 from flamingolift_front.responses import problem_response
@@ -308,9 +309,11 @@
 
 async def _stream_response(front, conn, forwarded):
     response = forwarded.response
-    data = _encode_head(
-        front, conn, response, httpcall.strip_hop_headers(response.headers)
-    )
+    # The transfer coding of the server's response overrides its length (RFC 9112).
+    coded = header(response.headers, "transfer-encoding") is not None
+    framing = (b"content-length",) if coded else ()
+    headers = httpcall.strip_hop_headers(response.headers, framing)
+    data = _encode_head(front, conn, response, headers)
     data += conn.parser.send(h11.Data(data=response.body))
     conn.responding = True
     bytestream.write(conn.stream, data)
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -5,9 +5,17 @@
 import time
 
 import pytest
-from flamingolift_front import forwarding, requestreading, sending
+from flamingolift_front import forwarding, httpcall, requestreading, sending
 from flamingolift_model.routing import RequestLimits
-from troubledserver import SOUND_BODY, run_site, sound
+from troubledserver import (
+    CHUNK,
+    CHUNKED,
+    PIECE_BYTES,
+    SOUND_BODY,
+    head,
+    run_site,
+    sound,
+)
 
 IDLE_TIMEOUT_S = 0.5
 WAIT_S = 5.0
@@ -146,3 +154,25 @@
         assert raw.split()[1] == b"%d" % status
         assert b"request-outcome: " + outcome in raw.lower()
         assert b"connection: close" in raw.lower()
+
+
+def answer_with_two_framings(request_id):
+    """Yields an answer above the size that is buffered, with both fields of framing."""
+    yield head(request_id, CHUNKED, b"content-length: 7")
+    for _number in range(2 * httpcall.SPOOL_BYTES // PIECE_BYTES):
+        yield CHUNK
+    yield b"0\r\n\r\n"
+
+
+# Guards against a streamed answer that is cut because its Content-Length, which the
+# chunked encoding overrides, contradicts its body.
+async def test_streamed_answer_with_two_framings_is_delivered_whole():
+    site_of_one = run_site(answer_with_two_framings, with_sound=False)
+    async with site_of_one as site, connect(site) as caller:
+        send(caller, 1, "Connection: close\r\n")
+        raw = await caller.reader.read()
+    first, _, body = raw.partition(b"\r\n\r\n")
+    assert first.split()[1] == b"200"
+    assert b"content-length" not in first.lower()
+    assert len(body) > 2 * httpcall.SPOOL_BYTES
+    assert body.endswith(b"0\r\n\r\n")
