Log requests whose caller had left before they were handled

A request whose caller had closed the connection before the instance came to it was the one end without a line.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -211,6 +211,7 @@
     task = asyncio.current_task()
     conn.stream.on_end = task.cancel
     if conn.stream.ended:
+        _log_request(front, req, trace, "caller_left", 0)
         return "caller_left"
     try:
         result = await forwarding.forward(front, req, trace)
