Treat a pipelined part of a request as a request in progress

Callers that sent a request and, in the same segment, an invalid request or a part of the next one got the first answer, and then an end of the connection: no refusal of the invalid request, and at a planned stop no answer to the request of which a part had arrived.

Cause: a connection became busy with the bytes that it read for a request, but bytes that came with the former request are in the parser already.

A connection is now busy as soon as bytes of a request are there, in the parser or in the buffer, so that an invalid one is refused in each case.

--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -41,6 +41,7 @@
     """
     if not await _wait_for_request(front, conn):
         return Ok(None)
+    conn.busy = bool(conn.parser.trailing_data[0] or conn.stream.buffer)
     # A policy may have changed the limits while the connection was idle.
     limits = _current_limits(front)
     _apply_header_limit(conn, limits)
@@ -51,8 +52,6 @@
             Fault(ResultCode.REQUEST_TIMEOUT, "the request head did not arrive in time")
         )
     except h11.RemoteProtocolError as exc:
-        if not conn.busy:
-            return Ok(None)
         code = _RESULT_CODES.get(exc.error_status_hint, ResultCode.BAD_REQUEST)
         return Error(Fault(code, str(exc)))
     if head is None:
@@ -115,12 +114,10 @@
     while True:
         event = conn.parser.next_event()
         if isinstance(event, h11.Request):
-            conn.busy = True
             return event
         if isinstance(event, h11.ConnectionClosed):
             return None
         data = await bytestream.read_before(conn.stream, ends_at)
-        conn.busy = conn.busy or bool(data)
         conn.parser.receive_data(data)
 
 
