Take bytes that arrive between the end of a wait and its task's turn

A request that reached the socket after the timer of the idle timeout had run, and before the task that waited took its turn, was closed in the face of its caller: the connection was reset, without an answer. A turn of the event loop that goes on for long behind the timer makes that window wide.

Cause: the task runs in the turn after the timer, in front of the handlers that take bytes from the sockets in that turn.

Evidence: the new test sends in the timer's own turn; it failed before with "Connection reset by peer".

A wait that ends with nothing to read lets the handlers of the turn run before it looks again. A wait that ends with bytes is as fast as before.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -220,6 +220,9 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(ends_at):
             await wait_readable(stream)
+    if not (stream.buffer or stream.ended):
+        # The event loop may take bytes from the socket later in the same turn.
+        await asyncio.sleep(0)
     return bool(stream.buffer) or stream.ended
 
 
