Close idle connections at a stop without cancelling their tasks

A request that reached the socket in the turn of the event loop in which a planned stop closed idle connections got no answer: its connection was reset. A connection that was accepted in that turn stayed open until the process ended, with no task that read from it, and its caller waited.

Cause: the idle connections' tasks were cancelled. The cancelled task took no look at what arrived meanwhile, and a task that is cancelled before its first step never runs, so that nothing closed or forgot its connection.

Evidence: the two new tests failed before, with "Connection reset by peer" and with a TimeoutError of the caller.

The stop marks the connections and wakes their tasks. A task that finds a request serves it as the last one, and all others close.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -20,6 +20,7 @@
     "wait_closed",
     "wait_readable",
     "wait_readable_before",
+    "wake",
     "write",
 ]
 
@@ -226,6 +227,11 @@
     return bool(stream.buffer) or stream.ended
 
 
+def wake(stream):
+    """Ends the wait of `wait_readable_before`, if there is one, before its time."""
+    _wake(stream.waiter)
+
+
 async def read_before(stream, ends_at):
     """Returns the bytes that have arrived, and waits for them until a time.
 
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -34,7 +34,8 @@
             first request.
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
-        closing: Whether the connection closes after the current response.
+        closing: Whether the connection closes after the current response, or when
+            no request has arrived.
         req: CallerRequest that was read whole and has no complete answer yet, or
             None.
         trace: Trace of that request.
@@ -78,10 +79,11 @@
 
 
 def close_idle(front):
-    """Closes the connections on which no request is in progress."""
+    """Lets the connections close on which no request is in progress or has arrived."""
     for conn in list(front.connections):
         if not (conn.busy or conn.closing or conn.stream.buffer):
-            conn.task.cancel()
+            conn.closing = True
+            bytestream.wake(conn.stream)
 
 
 def end_requests(front):
@@ -95,7 +97,7 @@
     """Serves requests until the connection ends."""
     cause = "idle"
     try:
-        while not conn.closing and await _serve_one(front, conn):
+        while await _serve_one(front, conn) and not conn.closing:
             conn.busy = False
             conn.parser.start_next_cycle()
     except ConnectionError as exc:
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -83,14 +83,21 @@
 
 
 async def _wait_for_request(front, conn):
-    """Returns whether a request began, or the caller left, within the idle time."""
+    """Returns whether a request began, or the caller left, within the idle time.
+
+    The wait ends earlier when the connection is to close.
+    """
     if conn.parser.trailing_data[0]:
         return True
     idle_since = time.monotonic()
     while True:
         ends_at = idle_since + _idle_time(_current_limits(front))
+        if conn.closing:
+            ends_at = idle_since
         if await bytestream.wait_readable_before(conn.stream, ends_at):
             return True
+        if conn.closing:
+            return False
         if time.monotonic() >= idle_since + _idle_time(_current_limits(front)):
             return False
 
--- a/packages/front/src/flamingolift_front/tests/test_closing_idle.py
+++ b/packages/front/src/flamingolift_front/tests/test_closing_idle.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from flamingolift_front import requestreading
+from flamingolift_front import callers, requestreading
 from test_unanswered_requests import (
     IDLE_TIMEOUT_S,
     WAIT_S,
@@ -42,6 +42,17 @@
             await asyncio.sleep(0.01)
 
 
+# Guards against requests that reach the socket in the turn of the event loop in which
+# the planned stop closes idle connections.
+async def test_request_that_arrives_while_a_stop_closes_its_connection_is_answered():
+    async with run_sound_site() as site, connect_socket(site) as sock:
+        await wait_idle(site)
+        site.front.stopping = True
+        sock.send(REQUEST)
+        callers.close_idle(site.front)
+        assert (await read_to_end(sock)).endswith(SOUND_BODY)
+
+
 # Guards against requests that arrive between the end of the wait and the close.
 async def test_request_that_arrives_behind_the_idle_timeout_is_answered():
     async with run_sound_site() as site:
@@ -54,3 +65,20 @@
             loop.call_later(idle_s + 0.1, sock.send, REQUEST)
             time.sleep(idle_s + 0.2)
             assert (await read_to_end(sock)).endswith(SOUND_BODY)
+
+
+# Guards against a connection that stays open without a task that reads from it, since
+# the task was cancelled before its first step.
+async def test_connection_accepted_while_a_stop_closes_idle_ones_ends(monkeypatch):
+    accept = callers.accept_caller
+
+    def accept_and_close_idle(front, stream):
+        accept(front, stream)
+        callers.close_idle(front)
+
+    monkeypatch.setattr(callers, "accept_caller", accept_and_close_idle)
+    async with run_sound_site() as site, connect_socket(site) as sock:
+        assert await read_to_end(sock) == b""
+        async with asyncio.timeout(WAIT_S):
+            while site.front.connections:
+                await asyncio.sleep(0.01)
