Let whole answers in the send buffer leave at the end of a planned stop

A caller that was reading an answer when the instance's grace time ended got a reset in place of the rest, although the whole answer was in the send buffer and 200 ms were left for it.

Cause: the end of the requests cancelled each task with a request, also one that only waited for room in the send buffer; a cancelled task that has sent a part of its answer resets the connection, which drops what is queued.

Evidence: the new test failed before, with "Connection reset by peer".

Only requests whose answer is not yet encoded as a whole are ended now. Their connections close when the answer has left, as the idle ones do.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -87,9 +87,13 @@
 
 
 def end_requests(front):
-    """Ends the requests in progress; their callers are told that it stops."""
+    """Ends the requests in progress; their callers are told that it stops.
+
+    An answer that waits in the send buffer as a whole is left to be sent.
+    """
     for conn in list(front.connections):
-        if conn.req is not None:
+        answering = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if conn.req is not None and answering:
             conn.task.cancel()
 
 
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -138,6 +138,7 @@
     callers.end_requests(front)
     while front.connections and time.monotonic() < front.exit_at + LAST_ANSWERS_S:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        callers.close_idle(front)
     if front.connections:
         log_event(front.log, "answers_unsent", connections=len(front.connections))
     log_event(front.log, "stopped", unfinished=unfinished)
--- a/packages/front/src/flamingolift_front/tests/test_planned_exit.py
+++ b/packages/front/src/flamingolift_front/tests/test_planned_exit.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from flamingolift_front import run
+from flamingolift_front import callers, run
 from test_unanswered_requests import connect, send
 from troubledserver import head, run_site
 
@@ -75,3 +75,37 @@
                 received += len(data)
             assert received > len(BODY)
             await stopping
+
+
+# Guards against a whole answer that waits for its caller to read, and is cut by a
+# reset shortly before the process ends.
+async def test_answer_that_is_read_at_the_exit_is_not_cut(monkeypatch):
+    async with run_site(long_answer, with_sound=False) as site:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.0.1", site.port))
+            while not site.front.connections:
+                await asyncio.sleep(0.01)
+            (conn,) = site.front.connections
+            accepted = conn.stream.transport.get_extra_info("socket")
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+            fields = "Host: h\r\nRequest-Id: q1\r\nRequest-Deadline-Ms: 9000\r\n"
+            await loop.sock_sendall(sock, f"GET /a HTTP/1.1\r\n{fields}\r\n".encode())
+            while not conn.stream.transport.get_write_buffer_size():
+                await asyncio.sleep(0.01)
+            ended = asyncio.Event()
+            end_requests = callers.end_requests
+            monkeypatch.setattr(
+                callers,
+                "end_requests",
+                lambda front: (end_requests(front), ended.set()),
+            )
+            stopping = asyncio.create_task(stop(site.front))
+            await ended.wait()
+            received = 0
+            while data := await loop.sock_recv(sock, 65536):
+                received += len(data)
+            assert received > len(BODY)
+            await stopping
