Let callers that are still sending read the refusal of their request

A caller whose body exceeds the limit got a reset in place of the answer 413 when more of the body was on its way than the sockets buffer, so that it could not tell the refusal from a failure.

Cause: the connection closed behind the refusal while bytes of the request were unread, and closing such a socket resets the connection.

The sending direction is ended behind a refusal of a request that was not read whole, and what still arrives is dropped until the caller ends, for 2 s at most.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -22,6 +22,7 @@
     "wait_readable_before",
     "wake",
     "write",
+    "write_eof",
 ]
 
 READ_HIGH_WATER_BYTES = 1 << 18
@@ -291,6 +292,14 @@
         stream.transport.write(data)
 
 
+def write_eof(stream):
+    """Ends the sending direction after the queued bytes, and keeps the other open."""
+    if not stream.transport.is_closing():
+        # The peer may have reset the connection, which the event loop has yet to see.
+        with contextlib.suppress(OSError):
+            stream.transport.write_eof()
+
+
 async def flush(stream):
     """Waits until the send buffer has room.
 
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -20,6 +20,8 @@
 
 __all__ = ["CallerConnection", "accept_caller", "close_idle", "end_requests"]
 
+LINGER_S = 2.0
+"""Longest time for which the rest of a refused request is taken (s)."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with a time of 0 s: closing the socket resets the connection."""
 
@@ -195,6 +197,7 @@
     received = await read_request(front, conn)
     if received.is_error():
         await _send_response(front, conn, problem_response(received.error))
+        await _discard_input(conn.stream)
         return False
     if received.ok is None:
         return False
@@ -206,6 +209,20 @@
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
 
+async def _discard_input(stream):
+    """Takes the rest of a refused request, for a time.
+
+    Closing a socket that has unread bytes resets the connection, and a caller that is
+    still sending would not read its refusal.
+    """
+    bytestream.write_eof(stream)
+    ends_at = time.monotonic() + LINGER_S
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while await bytestream.read_before(stream, ends_at):
+            if time.monotonic() >= ends_at:
+                break
+
+
 async def _handle_request(front, conn, req):
     """Forwards a request and sends the response to the caller.
 
