--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -20,7 +20,9 @@
     "wait_closed",
     "wait_readable",
     "wait_readable_before",
+    "wake",
     "write",
+    "write_eof",
 ]
 
 READ_HIGH_WATER_BYTES = 1 << 18
@@ -220,9 +222,17 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(ends_at):
             await wait_readable(stream)
+    if not (stream.buffer or stream.ended):
+        # The event loop may take bytes from the socket later in the same turn.
+        await asyncio.sleep(0)
     return bool(stream.buffer) or stream.ended
 
 
+def wake(stream):
+    """Ends the wait of `wait_readable_before`, if there is one, before its time."""
+    _wake(stream.waiter)
+
+
 async def read_before(stream, ends_at):
     """Returns the bytes that have arrived, and waits for them until a time.
 
@@ -282,6 +292,14 @@
         stream.transport.write(data)
 
 
+def write_eof(stream):
+    """Ends the sending direction after the queued bytes, and keeps the other open."""
+    if not stream.transport.is_closing():
+        # The peer may have reset the connection, which the event loop has yet to see.
+        with contextlib.suppress(OSError):
+            stream.transport.write_eof()
+
+
 async def flush(stream):
     """Waits until the send buffer has room.
 
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -20,6 +20,8 @@
 
 __all__ = ["CallerConnection", "accept_caller", "close_idle", "end_requests"]
 
+LINGER_S = 2.0
+"""Longest time for which the rest of a refused request is taken (s)."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with a time of 0 s: closing the socket resets the connection."""
 
@@ -34,7 +36,8 @@
             first request.
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
-        closing: Whether the connection closes after the current response.
+        closing: Whether the connection closes after the current response, or when
+            no request has arrived.
         req: CallerRequest that was read whole and has no complete answer yet, or
             None.
         trace: Trace of that request.
@@ -78,16 +81,21 @@
 
 
 def close_idle(front):
-    """Closes the connections on which no request is in progress."""
+    """Lets the connections close on which no request is in progress or has arrived."""
     for conn in list(front.connections):
         if not (conn.busy or conn.closing or conn.stream.buffer):
-            conn.task.cancel()
+            conn.closing = True
+            bytestream.wake(conn.stream)
 
 
 def end_requests(front):
-    """Ends the requests in progress; their callers are told that it stops."""
+    """Ends the requests in progress; their callers are told that it stops.
+
+    An answer that waits in the send buffer as a whole is left to be sent.
+    """
     for conn in list(front.connections):
-        if conn.req is not None:
+        answering = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if conn.req is not None and answering:
             conn.task.cancel()
 
 
@@ -95,7 +103,7 @@
     """Serves requests until the connection ends."""
     cause = "idle"
     try:
-        while not conn.closing and await _serve_one(front, conn):
+        while await _serve_one(front, conn) and not conn.closing:
             conn.busy = False
             conn.parser.start_next_cycle()
     except ConnectionError as exc:
@@ -189,6 +197,7 @@
     received = await read_request(front, conn)
     if received.is_error():
         await _send_response(front, conn, problem_response(received.error))
+        await _discard_input(conn.stream)
         return False
     if received.ok is None:
         return False
@@ -200,6 +209,20 @@
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
 
+async def _discard_input(stream):
+    """Takes the rest of a refused request, for a time.
+
+    Closing a socket that has unread bytes resets the connection, and a caller that is
+    still sending would not read its refusal.
+    """
+    bytestream.write_eof(stream)
+    ends_at = time.monotonic() + LINGER_S
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while await bytestream.read_before(stream, ends_at):
+            if time.monotonic() >= ends_at:
+                break
+
+
 async def _handle_request(front, conn, req):
     """Forwards a request and sends the response to the caller.
 
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -41,6 +41,7 @@
     """
     if not await _wait_for_request(front, conn):
         return Ok(None)
+    conn.busy = bool(conn.parser.trailing_data[0] or conn.stream.buffer)
     # A policy may have changed the limits while the connection was idle.
     limits = _current_limits(front)
     _apply_header_limit(conn, limits)
@@ -51,8 +52,6 @@
             Fault(ResultCode.REQUEST_TIMEOUT, "the request head did not arrive in time")
         )
     except h11.RemoteProtocolError as exc:
-        if not conn.busy:
-            return Ok(None)
         code = _RESULT_CODES.get(exc.error_status_hint, ResultCode.BAD_REQUEST)
         return Error(Fault(code, str(exc)))
     if head is None:
@@ -84,14 +83,21 @@
 
 
 async def _wait_for_request(front, conn):
-    """Returns whether a request began, or the caller left, within the idle time."""
+    """Returns whether a request began, or the caller left, within the idle time.
+
+    The wait ends earlier when the connection is to close.
+    """
     if conn.parser.trailing_data[0]:
         return True
     idle_since = time.monotonic()
     while True:
         ends_at = idle_since + _idle_time(_current_limits(front))
+        if conn.closing:
+            ends_at = idle_since
         if await bytestream.wait_readable_before(conn.stream, ends_at):
             return True
+        if conn.closing:
+            return False
         if time.monotonic() >= idle_since + _idle_time(_current_limits(front)):
             return False
 
@@ -115,12 +121,10 @@
     while True:
         event = conn.parser.next_event()
         if isinstance(event, h11.Request):
-            conn.busy = True
             return event
         if isinstance(event, h11.ConnectionClosed):
             return None
         data = await bytestream.read_before(conn.stream, ends_at)
-        conn.busy = conn.busy or bool(data)
         conn.parser.receive_data(data)
 
 
