Let keep-alive probes end idle connections, not the user timeout

Callers saw nothing directly: an instance dropped an idle connection to the store or to another instance after the first keep-alive probe that was lost, and had to connect and watch again.

Cause: these connections have TCP_USER_TIMEOUT 600 ms beside probes 1 s apart and a count of 2. On Linux a user timeout takes the place of the count: the connection ends as soon as one probe is unanswered and nothing was received for the user timeout.

The user timeout of a connection with probes is now the time that its probes take, 3 s, so that two probes are sent. Connections to backend servers have no probes and keep 600 ms.

--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -30,6 +30,10 @@
 KEEPALIVE_IDLE_S = 1
 """Idle time before the first keep-alive probe, and interval between probes (s)."""
 KEEPALIVE_PROBES = 2
+"""Unanswered probes in a row after which an idle connection ends."""
+KEEPALIVE_TIMEOUT_MS = 1000 * KEEPALIVE_IDLE_S * (1 + KEEPALIVE_PROBES)
+"""TCP_USER_TIMEOUT of a connection with keep-alive probes (ms). On Linux it takes the
+place of the count of probes, so that a shorter one would end the connection earlier."""
 
 
 class PeerTimeoutError(ConnectionError):
@@ -156,6 +160,7 @@
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
             sock.setsockopt(socket.IPPROTO_TCP, option, KEEPALIVE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        _set_user_timeout(transport, KEEPALIVE_TIMEOUT_MS)
     return stream
 
 
