Keep a pool of a dropped service until its waiters are answered

Callers saw requests without an answer or a refusal, until they gave up: a request that waited for a slot of the instance's own pool, while a new policy dropped its service.

Cause: the dispatcher closed such a pool as soon as no slot was granted, although requests waited in its queue, for example because its servers failed their probes. run_pools then no longer refused those whose wait had ended, and the wait in acquire_locally has no bound of its own.

A pool now closes only without grants and without waiters, at any instance. The waiters are refused as not run when their time has passed, as in any other pool.

--- a/packages/daemon/src/flamingolift_daemon/dispatching.py
+++ b/packages/daemon/src/flamingolift_daemon/dispatching.py
@@ -235,14 +235,15 @@
 def _should_close(instance, pool, service, region, now):
     """Returns whether a pool can be closed.
 
-    At its dispatcher it closes once the policy has dropped the service and all slots
-    are released; at any other instance once it is empty and old enough.
+    Without grants and waiters, it closes at its dispatcher once the policy has dropped
+    the service, and at any other instance once it is old enough.
     """
+    if pool.grants or pool.queue.size:
+        return False
     dispatcher = choose_dispatcher(instance.serving, service, region)
     if dispatcher is not None and dispatcher.instance_id == instance.cfg.instance_id:
-        return service not in instance.policy.services and not pool.grants
-    is_empty = not pool.grants and not pool.queue.size
-    return is_empty and now - pool.started_at > CLOSE_EMPTY_AFTER_S
+        return service not in instance.policy.services
+    return now - pool.started_at > CLOSE_EMPTY_AFTER_S
 
 
 async def run_pools(instance):
