Answer callers whose backend server sends a status out of range

Callers saw their connection end without an answer when a backend server answered with a status above 599, for look-ups, downloads and bookings, although the request may have run.

Cause: aiohttp takes any status up to 999 and the listener passed it on. uvicorn knows statuses up to 599 only, and closes the connection after its own KeyError. The answer's body was never iterated, so that its slot and the count of requests in flight leaked as well.

Evidence: before the change test_unusable_answer_ends_as_a_problem_that_may_have_run failed for its 600, 700 and 999 with an empty answer for bookings, and for the others with requests that stayed in flight for 5 s.

Such an answer is now rejected when its head arrives, like one without framing, as 3003 with an unknown outcome.

--- a/packages/daemon/src/flamingolift_daemon/backendclient.py
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -41,6 +41,8 @@
 EXCHANGE_HEADER = "Exchange-Id"
 """Header field that a backend server may echo, so that a late or duplicate answer on
 the same connection is not taken for the answer to this request."""
+USABLE_STATUSES = range(200, 600)
+"""Statuses of final answers that the listener for callers can encode."""
 KEEP_ALIVE_S = 15.0
 READ_BUFFER_BYTES = 65_536
 MAX_FIELD_BYTES = 16_384
@@ -361,6 +363,10 @@
         return Error(
             Outcome("not_run", False, Fault(ResultCode.OVERLOADED, detail, 1000))
         )
+    if resp.status not in USABLE_STATUSES:
+        resp.close()
+        detail = f"{slot.server_id}: the answer has status {resp.status}"
+        return Error(Outcome("ok", True, Fault(ResultCode.BACKEND_FAILED, detail)))
     if not is_complete_framing(resp, method):
         resp.close()
         detail = f"{slot.server_id}: the answer has no length and is not chunked"
