Pass a server's header values on byte for byte

Callers got an answer without a result code, or none that named the request's outcome, when a backend server sent a header value that is not ASCII; other such values were changed.

Cause: aiohttp decodes header values as UTF-8 with surrogates and the listener encodes them as Latin-1. What Latin-1 lacks raised UnicodeEncodeError after the response was built, so that its body was not iterated: its slot and the count of requests in flight leaked, and a planned stop waited for them until the end of its grace time.

Evidence: before the change test_header_values_are_passed_on_byte_for_byte failed for UTF-8 and Latin-1 values: look-ups and downloads stayed in flight for 5 s, bookings got the plain text 'Internal Server Error', and the two bytes of an accented letter arrived as one.

The raw bytes are now decoded as Latin-1, which maps each byte to one character and back.

--- a/packages/daemon/src/flamingolift_daemon/backendclient.py
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -146,7 +146,8 @@
         resp: aiohttp response.
         connections: ServerConnections that it came over.
         status: HTTP status.
-        headers: List of end-to-end (name, value).
+        headers: List of end-to-end (name, value), decoded as Latin-1, as the listener
+            for callers encodes them.
     """
 
     __slots__ = ("connections", "headers", "resp", "status")
@@ -155,9 +156,13 @@
         self.resp = resp
         self.connections = connections
         self.status = resp.status
+        received = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in resp.raw_headers
+        ]
         self.headers = [
             (name, value)
-            for name, value in end_to_end_headers(resp.headers.items())
+            for name, value in end_to_end_headers(received)
             if name.lower() != EXCHANGE_HEADER.lower()
         ]
 
--- a/packages/daemon/src/flamingolift_daemon/tests/test_odd_answers.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_odd_answers.py
@@ -20,6 +20,14 @@
     "switching protocols": b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
     "empty reason": b"HTTP/1.1 700\r\n" + BODY,
 }
+VALUES = [
+    b"caf\xe9",
+    "caf\u00e9".encode(),
+    "\u20ac".encode(),
+    b"\xff\xfe",
+    b"a\tb",
+    b"\x01\x7f",
+]
 
 
 def answer_with(answer):
@@ -61,3 +69,18 @@
         head, body = await request(instance, port, service)
     assert head.startswith(b"HTTP/1.1 50"), head
     assert json.loads(body)["outcome"] == "unknown"
+
+
+# Guards against header values that are decoded by one rule and encoded by another.
+@pytest.mark.parametrize("service", ["maps", "packs", "seats"])
+@pytest.mark.parametrize("value", VALUES)
+async def test_header_values_are_passed_on_byte_for_byte(value, service):
+    answer = b"HTTP/1.1 200 OK\r\nX-Odd: " + value + b"\r\n" + BODY
+    async with (
+        run_backend(answer_with(answer)) as backend,
+        run_local_instance(SERVICES, [backend]) as instance,
+        run_caller_listener(instance) as port,
+    ):
+        head, body = await request(instance, port, service)
+    assert body == b"body"
+    assert b"\r\nx-odd: " + value + b"\r\n" in head
