Answer a booking at once when its run raises at the home

Callers of a booking whose run failed by an error in our own code had no answer until the deadline of the request, and each resend waited as long; a report to the witness that failed had the same effect although the booking had run.

Cause: _run_and_report recorded the outcome but let the exception pass before it resolved the future that the callers wait for.

Evidence: test_booking_whose_run_raises_is_answered_at_once failed for each place of the error with a TimeoutError after 5 s; the deadline is 30 s. The other tests of the module pass without the change: errors beneath look-ups and downloads already end as problems.

An exception now counts as an unknown outcome, is logged, recorded and reported to the witness, and the future is resolved however the run and the report end.

--- a/packages/daemon/src/flamingolift_daemon/bookinghome.py
+++ b/packages/daemon/src/flamingolift_daemon/bookinghome.py
@@ -22,6 +22,7 @@
     acquire_in_any_region,
 )
 from flamingolift_daemon.instance import start_task
+from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
 from flamingolift_daemon.peerlinks import call_peer, get_link
 from flamingolift_daemon.slots import release_slot
@@ -163,17 +164,32 @@
 async def _run_and_report(instance, booking, facts, future):
     """Runs a booking, records its outcome and reports it to the witness."""
     result = Error(Fault(ResultCode.OUTCOME_UNKNOWN, "the home instance stopped"))
+    try:
+        result = await _run_and_record(instance, booking, facts)
+        code = ResultCode.OK if result.is_ok() else result.error.code
+        answer = result.ok if result.is_ok() else None
+        await _report_completion(instance, booking.key, facts, code, answer)
+    finally:
+        # Callers and resends wait for it, however the run has ended.
+        if not future.done():
+            future.set_result(result)
+
+
+async def _run_and_record(instance, booking, facts) -> Result:
+    """Runs a booking and records its outcome, unknown if the run raises."""
+    result = Error(Fault(ResultCode.OUTCOME_UNKNOWN, "the home instance stopped"))
     try:
         result = await _claim_and_run(instance, booking, facts)
+    except Exception as exc:
+        logger.error("unexpected_exception", exc_info=exc)
+        result = Error(Fault(ResultCode.OUTCOME_UNKNOWN, type(exc).__name__))
     finally:
         code = ResultCode.OK if result.is_ok() else result.error.code
         answer = result.ok if result.is_ok() else None
         finish_booking(instance.bookings, booking.key, code, answer)
         count(instance.metrics, f"bookings.{code.name.lower()}")
         instance.booking_futures.pop(booking.key, None)
-    await _report_completion(instance, booking.key, facts, code, answer)
-    if not future.done():
-        future.set_result(result)
+    return result
 
 
 async def _report_completion(instance, key, facts, code, answer):
