Move the handshake between instances to a module of its own

The functions that write, read and verify a hello, and the refusal of one, only moved; their names lost the underscore, as another module now calls them.

--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -3,27 +3,27 @@
 import asyncio
 import contextlib
 import itertools
-import secrets
 
 from expression import Error, Ok, Result
 from flamingolift_decisions.documents import versions
 from flamingolift_decisions.membership import changes_since, record_contact
 from flamingolift_model import Fault, ResultCode
-from flamingolift_model.peer import Heartbeat, Hello, Refusal
+from flamingolift_model.peer import Heartbeat, Refusal
 from flamingolift_wire.codec import decode_message, encode_message
 from flamingolift_wire.frames import (
     MAX_FRAME_BYTES,
-    MAX_HELLO_BYTES,
     FrameState,
     encode_frame,
     read_frame,
 )
-from flamingolift_wire.keys import (
-    compute_auth_tag,
-    derive_session_key,
-    equal_in_constant_time,
-)
+from flamingolift_wire.keys import derive_session_key
 
+from flamingolift_daemon.handshake import (
+    make_hello,
+    read_hello,
+    refusal_bytes,
+    write_hello,
+)
 from flamingolift_daemon.instance import refresh_view, start_task
 from flamingolift_daemon.logs import logger
 from flamingolift_daemon.metrics import count
@@ -193,50 +193,6 @@
     return Ok(answer)
 
 
-def _make_hello(instance, key_id):
-    return Hello(
-        instance_id=instance.cfg.instance_id,
-        incarnation=instance.incarnation,
-        key_id=key_id,
-        nonce=secrets.token_bytes(16),
-    )
-
-
-def _write_hello(writer, key, direction, hello, prefix=b""):
-    """Sends a hello with its authentication tag.
-
-    The tag also covers the prefix; in a reply that is the nonce of the first hello.
-    """
-    body = encode_message(hello)
-    tag = compute_auth_tag(key, b"hello", direction, prefix, body)
-    writer.write(len(body).to_bytes(4, "big") + tag + body)
-
-
-async def _read_hello(instance, reader, direction, prefix=b"") -> Result:
-    """Reads and verifies the other side's hello."""
-    state = FrameState(b"", direction, MAX_HELLO_BYTES)
-    frame = await read_frame(reader, state)
-    if frame.is_error():
-        return frame
-    body, tag = frame.ok
-    decoded = decode_message(body)
-    if decoded.is_error():
-        return decoded
-    hello = decoded.ok[0]
-    if not isinstance(hello, Hello):
-        return Error(Fault(ResultCode.PEER_FRAME, "the first message is not a hello"))
-    key = instance.peer_keys.keys.get(hello.key_id)
-    if key is None or not equal_in_constant_time(
-        compute_auth_tag(key, b"hello", direction, prefix, body), tag
-    ):
-        return Error(
-            Fault(
-                ResultCode.PEER_AUTH, "the hello's authentication tag does not verify"
-            )
-        )
-    return Ok((hello, key))
-
-
 async def _open_stream(instance, entry) -> Result:
     """Opens a stream to an instance; Ok holds the PeerLink."""
     cfg = instance.cfg
@@ -252,10 +208,10 @@
             cfg.connect_timeout_s,
         )
         key = instance.peer_keys.keys[instance.peer_keys.signing_id]
-        own_hello = _make_hello(instance, instance.peer_keys.signing_id)
-        _write_hello(writer, key, b"c", own_hello)
+        own_hello = make_hello(instance, instance.peer_keys.signing_id)
+        write_hello(writer, key, b"c", own_hello)
         answer = await asyncio.wait_for(
-            _read_hello(instance, reader, b"s", own_hello.nonce), HANDSHAKE_TIMEOUT_S
+            read_hello(instance, reader, b"s", own_hello.nonce), HANDSHAKE_TIMEOUT_S
         )
     except (TimeoutError, OSError, EOFError) as exc:
         if writer is not None:
@@ -307,32 +263,26 @@
     """
     try:
         hello_result = await asyncio.wait_for(
-            _read_hello(instance, reader, b"c"), HANDSHAKE_TIMEOUT_S
+            read_hello(instance, reader, b"c"), HANDSHAKE_TIMEOUT_S
         )
     except (TimeoutError, OSError, EOFError):
         writer.transport.abort()
         return
     if hello_result.is_error():
         count(instance.metrics, f"peer.refused.{hello_result.error.code.value}")
-        writer.write(_refusal_bytes(hello_result.error))
+        writer.write(refusal_bytes(hello_result.error))
         with contextlib.suppress(OSError):
             await writer.drain()
         writer.close()
         return
     hello, key = hello_result.ok
-    own_hello = _make_hello(instance, hello.key_id)
-    _write_hello(writer, key, b"s", own_hello, hello.nonce)
+    own_hello = make_hello(instance, hello.key_id)
+    write_hello(writer, key, b"s", own_hello, hello.nonce)
     shared = derive_session_key(key, hello.nonce, own_hello.nonce)
     link = _make_link(instance, hello, reader, writer, shared, b"s", b"c")
     await run_link(instance, link)
 
 
-def _refusal_bytes(fault):
-    """Returns an unauthenticated frame with the result code of a failed handshake."""
-    body = encode_message(Refusal(code=fault.code, detail=fault.detail[:200]))
-    return len(body).to_bytes(4, "big") + bytes(16) + body
-
-
 async def run_link(instance, link):
     """Reads a stream until it closes, handling its messages in order.
 
