Fail the call alone when its handler raises at a peer

Callers of an instance got 'no backend' or an unknown outcome without need: an error in the handler of one message ended all calls that waited on the same stream between two instances. A booking that had been passed on to its home had no answer until its deadline.

Cause: an exception in a handler ended run_link, which closes the stream; one in the task that awaits a booking or a resolution was only kept in the task, and no reply was sent.

Such a call is now refused as if the instance had not answered: a slot is asked for at the next dispatcher, a booking is resolved at its witness, which knows what is true. Messages that nobody waits for still end the stream, so that a document in transfer starts anew.

--- a/packages/daemon/src/flamingolift_daemon/bookinghandlers.py
+++ b/packages/daemon/src/flamingolift_daemon/bookinghandlers.py
@@ -8,7 +8,7 @@
 
 from flamingolift_daemon.bookinghome import resolve_as_witness, run_at_home
 from flamingolift_daemon.metrics import count
-from flamingolift_daemon.peerlinks import send_message
+from flamingolift_daemon.peerlinks import refuse_failed_call, send_message
 
 __all__ = [
     "handle_booking",
@@ -21,9 +21,14 @@
 EXPIRY_INTERVAL_S = 5.0
 
 
-async def _reply_when_done(link, call_id, coro):
+async def _reply_when_done(instance, link, message, call_id, coro):
     """Awaits a Result and sends it as the reply to a call."""
-    result = await coro
+    try:
+        result = await coro
+    except Exception as exc:
+        refusal = refuse_failed_call(instance, link, message, exc)
+        send_message(link, refusal, reply_to=call_id)
+        return
     if result.is_ok():
         send_message(link, result.ok, reply_to=call_id)
         return
@@ -49,7 +54,8 @@
             code=ResultCode.PEER_UNREACHABLE,
             detail="this is not the home named in the key",
         )
-    return _reply_when_done(link, call_id, run_at_home(instance, message, facts))
+    running = run_at_home(instance, message, facts)
+    return _reply_when_done(instance, link, message, call_id, running)
 
 
 def handle_claim(instance, link, message, call_id):
@@ -101,7 +107,7 @@
     resolving = resolve_as_witness(
         instance, message.key, message.digest, facts, timeout_s
     )
-    return _reply_when_done(link, call_id, resolving)
+    return _reply_when_done(instance, link, message, call_id, resolving)
 
 
 async def run_record_expiry(instance):
--- a/packages/daemon/src/flamingolift_daemon/peerlinks.py
+++ b/packages/daemon/src/flamingolift_daemon/peerlinks.py
@@ -34,6 +34,7 @@
     "call_peer",
     "close_link",
     "get_link",
+    "refuse_failed_call",
     "send_heartbeat",
     "send_message",
 ]
@@ -334,13 +335,34 @@
     handler = instance.handlers.get(type(message))
     if handler is None:
         return
-    answer = handler(instance, link, message, call_id)
+    try:
+        answer = handler(instance, link, message, call_id)
+    except Exception as exc:
+        if not call_id:
+            raise
+        answer = refuse_failed_call(instance, link, message, exc)
     if asyncio.iscoroutine(answer):
         start_task(instance, answer)
     elif answer is not None and call_id:
         send_message(link, answer, reply_to=call_id)
 
 
+def refuse_failed_call(instance, link, message, exc):
+    """Logs an exception that a peer's call raised; returns its Refusal.
+
+    The peer goes on as if this instance had not answered, since it is unknown how far
+    the call came. The stream stays open for the other calls on it.
+    """
+    count(instance.metrics, "tasks.failed")
+    name = type(message).__name__
+    logger.error(
+        "peer_call_failed",
+        extra={"peer": link.remote_id, "call": name},
+        exc_info=exc,
+    )
+    return Refusal(code=ResultCode.PEER_UNREACHABLE, detail=f"{name} failed")
+
+
 async def get_link(instance, entry) -> Result:
     """Returns an open stream to an instance, opening one if there is none.
 
