End waiting requests with an answer when a planned stop runs out of time

Callers whose request waited for a slot, or whose booking waited for another instance, when the grace time of a planned stop ended, saw their connection end without an answer or a refusal, although the request was read whole.

Cause: at the end of the grace time only the connections to backend servers were closed, which ends the requests that run there. Nothing ended a wait in a dispatcher's queue, for the home or for the witness of a booking; the process exited 1 s later.

Requests on a server already ended as unknown.

Each wait for a slot, and each booking under way, registers its timeout with the instance. The stop ends the former at once: a request that was never sent is refused as not run, 2004, by any code path, since forward_request keeps what was sent before. Bookings get their usual second to learn the outcome, and then end as unknown, 3001.

--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from expression import Error
 from flamingolift_decisions.hashing import digest_request
 from flamingolift_decisions.policyrules import rules_for
 from flamingolift_decisions.steering import block_of, origin_of
@@ -20,6 +21,7 @@
 from flamingolift_daemon.lookups import look_up
 from flamingolift_daemon.metrics import count, record_duration_ms
 from flamingolift_daemon.streaming import stream_answer
+from flamingolift_daemon.waits import bounded_wait
 
 __all__ = ["make_caller_app"]
 
@@ -186,7 +188,7 @@
         tenant=request.tenant,
         deadline_ms=max(0, int(left_s * 1000)),
     )
-    routed = await route_booking(instance, booking)
+    routed = await _route_until_stopped(instance, booking)
     if routed.is_error():
         raise FaultError(routed.error)
     answer = routed.ok
@@ -199,6 +201,16 @@
         resp.set_header(REPLAY_HEADER, "true")
 
 
+async def _route_until_stopped(instance, booking):
+    """Routes a booking; its outcome is unknown if the instance stops before."""
+    try:
+        async with bounded_wait(instance.booking_waits, None):
+            return await route_booking(instance, booking)
+    except TimeoutError:
+        detail = "the instance stopped before the outcome was known"
+        return Error(Fault(ResultCode.OUTCOME_UNKNOWN, detail, 1000))
+
+
 async def _read_body(req, limit):
     """Reads a body of bounded size.
 
--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -21,6 +21,7 @@
 from flamingolift_daemon.metrics import count
 from flamingolift_daemon.peerlinks import PEER_BACKOFF_S
 from flamingolift_daemon.slots import acquire_slot, release_slot
+from flamingolift_daemon.waits import bounded_wait
 
 __all__ = [
     "CallerRequest",
@@ -95,6 +96,7 @@
     A dispatcher without a policy or backend servers refuses at once instead of
     queueing. Such a refusal is retried for up to `NO_SERVERS_RETRY_S`, because
     instances learn of the policy, the servers and each other within a short time.
+    The wait ends when the instance runs out of time to stop.
 
     Args:
         instance: Instance.
@@ -106,6 +108,15 @@
     Returns:
         Ok with a Slot, or Error with a Fault; on an error nothing was run.
     """
+    try:
+        async with bounded_wait(instance.slot_waits, None):
+            return await _acquire_with_retries(instance, request, hold_s, wait_s, avoid)
+    except TimeoutError:
+        return Error(Fault(ResultCode.DRAINING, "the instance has stopped", 1000))
+
+
+async def _acquire_with_retries(instance, request, hold_s, wait_s, avoid) -> Result:
+    """Acquires a slot as `acquire_in_any_region`, without its bound."""
     retry_until = instance.clock.now() + min(wait_s, NO_SERVERS_RETRY_S)
     while True:
         left_s = max(0.0, wait_s)
--- a/packages/daemon/src/flamingolift_daemon/instance.py
+++ b/packages/daemon/src/flamingolift_daemon/instance.py
@@ -9,6 +9,8 @@
 from flamingolift_decisions.shifts import ShiftLimiter
 from flamingolift_model.plan import InstanceEntry
 
+from flamingolift_daemon.waits import WaitGroup
+
 __all__ = ["Instance", "notify_change", "refresh_view", "self_entry", "start_task"]
 
 MAX_UPLOADS = 4
@@ -58,6 +60,8 @@
             did not answer to the end of its back-off (s, monotonic).
         tasks: Set of background tasks.
         transfers: Map of document kind to the Transfer that receives it from peers.
+        slot_waits: WaitGroup of the requests that wait for a slot.
+        booking_waits: WaitGroup of the bookings that wait for an outcome.
         in_flight: Number of callers' requests in flight.
         stopping: Event set at a planned stop.
         refusing: Whether new requests are refused, in the last phase of a drain.
@@ -70,6 +74,7 @@
         "backends",
         "backoff_until",
         "booking_futures",
+        "booking_waits",
         "bookings",
         "budgets",
         "by_site",
@@ -97,6 +102,7 @@
         "samples",
         "serving",
         "shift_limiter",
+        "slot_waits",
         "stopping",
         "store",
         "streams",
@@ -156,6 +162,8 @@
         self.tasks = set()
         self.transfers = {}
         self.upload_slots = asyncio.Semaphore(MAX_UPLOADS)
+        self.slot_waits = WaitGroup()
+        self.booking_waits = WaitGroup()
         self.in_flight = 0
         self.stopping = asyncio.Event()
         self.refusing = False
--- a/packages/daemon/src/flamingolift_daemon/tests/localinstance.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/localinstance.py
@@ -51,9 +51,8 @@
     return Settings(**values)
 
 
-@contextlib.asynccontextmanager
-async def run_local_instance(services, ports, **options):
-    """Yields an Instance with its pools' task and backend servers at the ports."""
+def make_local_instance(services, ports, **options):
+    """Returns an Instance with a policy, and backend servers at the ports."""
     instance = wiring.make_instance(make_settings(**options))
     instance.policy = make_policy(services)
     instance.live_list = LiveList(
@@ -73,6 +72,13 @@
         ],
     )
     refresh_view(instance)
+    return instance
+
+
+@contextlib.asynccontextmanager
+async def run_local_instance(services, ports, **options):
+    """Yields an Instance whose only task is that of its pools."""
+    instance = make_local_instance(services, ports, **options)
     start_task(instance, dispatching.run_pools(instance))
     try:
         yield instance
@@ -98,11 +104,18 @@
 
 @contextlib.asynccontextmanager
 async def run_backend(serve):
-    """Runs a raw server, a coroutine of reader and writer; yields its port."""
+    """Runs a server that answers health probes itself; yields its port.
+
+    Others are left to `serve`, a coroutine function of the reader and the writer.
+    """
 
     async def handle(reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await serve(reader, writer)
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith((b"GET /health ", b"GET /load ")):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n0")
+            else:
+                await serve(reader, writer)
         writer.close()
 
     server = await asyncio.start_server(handle, HOST, 0)
--- a/packages/daemon/src/flamingolift_daemon/tests/test_forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 from flamingolift_daemon.clock import Clock
 from flamingolift_daemon.forwarding import CallerRequest, forward_request
 from flamingolift_daemon.metrics import Metrics
+from flamingolift_daemon.waits import WaitGroup
 from flamingolift_decisions.policyrules import ServiceRules
 from flamingolift_decisions.quarantine import CrashLog, add_quarantine
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
@@ -23,6 +24,7 @@
         self.budgets = {}
         self.backends = None
         self.held_slots = {}
+        self.slot_waits = WaitGroup()
 
 
 class FakeSlot:
--- a/packages/daemon/src/flamingolift_daemon/tests/test_odd_answers.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_odd_answers.py
@@ -32,7 +32,6 @@
 
 def answer_with(answer):
     async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
         writer.write(answer)
         await writer.drain()
         await reader.read()
--- a/packages/daemon/src/flamingolift_daemon/tests/test_own_errors.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_own_errors.py
@@ -17,7 +17,6 @@
 
 
 async def answer(reader, writer):
-    await reader.readuntil(b"\r\n\r\n")
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
     await reader.read()
 
--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -35,6 +35,7 @@
 from flamingolift_daemon.operatorapi import make_operator_app
 from flamingolift_daemon.planning import run_planner
 from flamingolift_daemon.probing import run_probes
+from flamingolift_daemon.waits import end_waits
 
 __all__ = ["make_instance", "run_instance", "serve_peers"]
 
@@ -197,8 +198,7 @@
     stopping = asyncio.ensure_future(instance.stopping.wait())
     await asyncio.wait({*serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
     cut = await _drain(instance, stop_now)
-    await close_clients(instance.backends)
-    await _await_in_flight(instance, CUT_ANSWER_TIMEOUT_S)
+    await _end_requests(instance)
     for server in servers:
         server.should_exit = True
         server.force_exit = True
@@ -248,6 +248,19 @@
     return instance.in_flight
 
 
+async def _end_requests(instance):
+    """Ends the requests still in flight with answers that say what became of them.
+
+    Those without a slot are refused. Those on a backend server, and bookings that
+    another instance runs, end with an unknown outcome.
+    """
+    end_waits(instance.slot_waits)
+    await close_clients(instance.backends)
+    await _await_in_flight(instance, CUT_ANSWER_TIMEOUT_S)
+    end_waits(instance.booking_waits)
+    await _await_in_flight(instance, CUT_ANSWER_TIMEOUT_S)
+
+
 async def _await_in_flight(instance, timeout_s):
     """Waits until callers of aborted requests have been answered, or the timeout."""
     ends_at = instance.clock.now() + timeout_s
