Refuse a request whose dispatchers hang soon after its deadline

Callers waited far beyond their deadline, as long as they stayed at all, when the dispatcher of their region or of another one could be reached and did not answer.

Cause: the time-outs of the steps towards a slot add up: connecting, the handshake, the report of inherited slots and the answer, for each of three dispatchers in each region, one region after the other. Nothing bounded their sum.

Evidence: test_request_is_refused_soon_after_its_deadline, with a deadline of 0.3 s, had no answer after 5 s before the change, both when the own region hangs and when another does.

The wait for a slot now ends 0.2 s after the deadline, so that a refusal of the dispatcher at the deadline still arrives, as not run, 2009. The cancelled attempt gives back what it got, as it does when a caller disconnects.

--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -51,6 +51,8 @@
 It exceeds `PEER_BACKOFF_S`, the back-off from a peer that was not yet listening."""
 NO_SERVERS_PAUSE_S = 0.1
 """Pause between these retries (s)."""
+ACQUIRE_SLACK_S = 0.2
+"""Time beyond a request's deadline for a refusal of its slot to arrive (s)."""
 _NOT_QUEUED = frozenset((ResultCode.NO_BACKEND, ResultCode.NOT_READY))
 REGION_BACKOFF_S = 0.05
 """Time for which a region that refused a request is not tried again (s)."""
@@ -96,7 +98,8 @@
     A dispatcher without a policy or backend servers refuses at once instead of
     queueing. Such a refusal is retried for up to `NO_SERVERS_RETRY_S`, because
     instances learn of the policy, the servers and each other within a short time.
-    The wait ends when the instance runs out of time to stop.
+    The wait ends soon after the request's deadline, and when the instance runs out of
+    time to stop.
 
     Args:
         instance: Instance.
@@ -108,11 +111,15 @@
     Returns:
         Ok with a Slot, or Error with a Fault; on an error nothing was run.
     """
+    left_s = max(wait_s, request.deadline - instance.clock.now())
     try:
-        async with bounded_wait(instance.slot_waits, None):
+        async with bounded_wait(instance.slot_waits, left_s + ACQUIRE_SLACK_S):
             return await _acquire_with_retries(instance, request, hold_s, wait_s, avoid)
     except TimeoutError:
-        return Error(Fault(ResultCode.DRAINING, "the instance has stopped", 1000))
+        if instance.slot_waits.ended:
+            return Error(Fault(ResultCode.DRAINING, "the instance has stopped", 1000))
+        detail = "no dispatcher answered in time"
+        return Error(Fault(ResultCode.DEADLINE_BEFORE_RUN, detail))
 
 
 async def _acquire_with_retries(instance, request, hold_s, wait_s, avoid) -> Result:
