Send the last bytes of answers before an instance ends

Callers that read slowly saw their answer cut when the instance was stopped, although the backend server had sent it whole and the grace time had not passed.

Cause: a request leaves the count of requests in flight when its answer is handed to the transport. The stop then ended the listeners by force, and the bytes that were still queued were lost with the process.

Evidence: test_instance_ends_after_the_last_bytes_of_its_answers, with a caller that reads 4 KB at a time from small buffers, got 131072 of 240000 bytes before the change.

The listeners now close their connections as uvicorn does it, after the queued bytes, for what is left of the grace time and at least 1 s; a second signal allows 1 s. Idle connections are closed at once, as before, so that a stop without such callers takes no longer.

--- a/packages/daemon/src/flamingolift_daemon/wiring.py
+++ b/packages/daemon/src/flamingolift_daemon/wiring.py
@@ -43,6 +43,8 @@
 STOP_POLL_S = 0.05
 CUT_ANSWER_TIMEOUT_S = 1.0
 """Time for answering the callers whose requests were aborted (s)."""
+FLUSH_TIMEOUT_S = 1.0
+"""Shortest time allowed for callers to read the ends of their answers (s)."""
 SEED_RETRY_S = 1.0
 RESTART_DELAY_S = 1.0
 CLOSE_TIMEOUT_S = 2.0
@@ -197,12 +199,11 @@
     logger.info("instance_started", extra={"incarnation": instance.incarnation})
     stopping = asyncio.ensure_future(instance.stopping.wait())
     await asyncio.wait({*serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    ends_at = instance.clock.now() + cfg.drain_grace_s
     cut = await _drain(instance, stop_now)
     await _end_requests(instance)
-    for server in servers:
-        server.should_exit = True
-        server.force_exit = True
-    await asyncio.wait(serving, timeout=2.0)
+    left_s = 0.0 if stop_now.is_set() else ends_at - instance.clock.now()
+    await _close_listeners(servers, serving, max(FLUSH_TIMEOUT_S, left_s))
     await _shut_down(instance)
     logger.info("instance_stopped", extra={"cut": cut})
     return cut
@@ -261,6 +262,22 @@
     await _await_in_flight(instance, CUT_ANSWER_TIMEOUT_S)
 
 
+async def _close_listeners(servers, serving, flush_timeout_s):
+    """Closes the listeners, and their connections after their queued bytes are sent.
+
+    Args:
+        servers: List of EmbeddedServer.
+        serving: List of the tasks in which they run.
+        flush_timeout_s: Longest wait for callers to read what is queued (s).
+    """
+    for server in servers:
+        server.should_exit = True
+    await asyncio.wait(serving, timeout=flush_timeout_s)
+    for server in servers:
+        server.force_exit = True
+    await asyncio.wait(serving, timeout=CLOSE_TIMEOUT_S)
+
+
 async def _await_in_flight(instance, timeout_s):
     """Waits until callers of aborted requests have been answered, or the timeout."""
     ends_at = instance.clock.now() + timeout_s
