Refuse a booking whose body does not arrive in time

Callers that stopped in the middle of a booking's body held their place among the requests in flight until they left, and a planned stop waited for them to the end of its grace time and then gave them no answer.

Cause: nothing bounded the reading of a booking's body; the deadline of the request was only applied after it.

The body now has until the request's deadline, like the rest of the request, and is refused with 1007 or, at the end of a stop, with 2004. The bodies of other requests are sent on as they arrive, and end with the time-out of the send.

--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -176,7 +176,7 @@
                 "the key comes with the answer to a look-up of the service",
             )
         )
-    body = await _read_body(req, instance.cfg.max_booking_bytes)
+    body = await _read_body_in_time(instance, req, request.deadline)
     left_s = request.deadline - instance.clock.now()
     booking = peer.Booking(
         key=key,
@@ -211,6 +211,22 @@
         return Error(Fault(ResultCode.OUTCOME_UNKNOWN, detail, 1000))
 
 
+async def _read_body_in_time(instance, req, deadline):
+    """Reads the body of a booking until the deadline, or the end of a stop.
+
+    Raises:
+        FaultError: The body exceeds the limit, or did not arrive in time.
+    """
+    left_s = max(0.0, deadline - instance.clock.now())
+    try:
+        async with bounded_wait(instance.slot_waits, left_s):
+            return await _read_body(req, instance.cfg.max_booking_bytes)
+    except TimeoutError:
+        stopped = instance.slot_waits.ended
+        code = ResultCode.DRAINING if stopped else ResultCode.REQUEST_TIMEOUT
+        raise FaultError(Fault(code, "the body did not arrive in time", 1000)) from None
+
+
 async def _read_body(req, limit):
     """Reads a body of bounded size.
 
