Announce the end of a connection in each answer during a planned stop

Callers with open connections went on to send requests on them until an instance closed them at the end of its stop. A request that arrived at that moment found its connection closed instead of an answer, and pipelined ones were dropped with it.

Cause: only the refusals of the stop itself carried 'Connection: close'; served requests, other refusals and look-ups did not.

A middleware now adds the field to all responses to callers while the instance stops, so that uvicorn closes each connection after its current answer and callers open their next one where the look-ups point, which name other instances since the stop began.

--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -69,6 +69,21 @@
         resp.media = {"ok": True}
 
 
+class StopAnnouncer:
+    """Middleware that announces the end of each connection during a stop."""
+
+    def __init__(self, instance):
+        self.instance = instance
+
+    async def process_response(self, req, resp, resource, req_succeeded):
+        """Closes the connection after the response while the instance stops.
+
+        A later request would be sent on a connection that is about to be closed.
+        """
+        if self.instance.stopping.is_set():
+            resp.set_header("Connection", "close")
+
+
 def is_ready(instance):
     """Returns whether the instance can answer look-ups and requests."""
     return instance.policy is not None and bool(instance.serving)
@@ -81,6 +96,7 @@
         instance: Instance.
     """
     app = make_app()
+    app.add_middleware(StopAnnouncer(instance))
     app.add_route("/v1/lookup", LookupResource(instance))
     app.add_route("/healthz", HealthResource(instance, needs_policy=False))
     app.add_route("/readyz", HealthResource(instance, needs_policy=True))
--- a/packages/daemon/src/flamingolift_daemon/tests/test_planned_stop.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_planned_stop.py
@@ -180,6 +180,33 @@
         assert problem["code"] == ResultCode.OUTCOME_UNKNOWN
 
 
+# Guards against requests that are sent on a connection which the stop then closes.
+@pytest.mark.parametrize("target", ["/s/maps/x", "/s/packs/x", "/v1/lookup"])
+async def test_connection_closes_after_an_answer_during_a_stop(monkeypatch, target):
+    async with (
+        run_backend(answer_big) as backend,
+        run_whole_instance(monkeypatch, backend, WAIT_S) as (instance, port, _running),
+    ):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        await fetch(reader, writer, target)
+        instance.stopping.set()
+        head = await fetch(reader, writer, target)
+        assert b"connection: close" in head.lower()
+        async with asyncio.timeout(WAIT_S):
+            await reader.read()
+        writer.close()
+
+
+async def fetch(reader, writer, target):
+    """Sends one request on an open connection; returns the answer's head."""
+    writer.write(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+    async with asyncio.timeout(WAIT_S):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        await reader.readexactly(int(length))
+    return head
+
+
 # Guards against the end of an answer that is lost with the process.
 async def test_instance_ends_after_the_last_bytes_of_its_answers(monkeypatch):
     servers = []
