End unacknowledged requests to backend servers within 600 ms in the daemon

Callers whose request went out on a kept connection to a server that had vanished silently waited until their deadline, or half of it for a look-up, before anything else was tried.

Cause: the sockets that aiohttp opens have no TCP_USER_TIMEOUT, so that Linux goes on sending unacknowledged bytes for about 15 minutes; the front has had 600 ms for these connections.

The sockets get the same user timeout as those of the front. Its end counts as a time-out that may have run, not as a crash: a lost path must not quarantine the request, and the other connections to that server are retired as after any time-out.

--- a/packages/daemon/src/flamingolift_daemon/backendclient.py
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -1,6 +1,7 @@
 """HTTP connections to the backend servers."""
 
 import asyncio
+import errno
 import itertools
 import secrets
 
@@ -10,6 +11,7 @@
 from yarl import URL
 
 from flamingolift_daemon.metrics import count
+from flamingolift_daemon.sockets import make_server_socket
 
 __all__ = [
     "BackendAnswer",
@@ -109,7 +111,12 @@
     if not options:
         options = {"keepalive_timeout": KEEP_ALIVE_S}
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, local_addr=(host, 0), **options),
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            local_addr=(host, 0),
+            socket_factory=make_server_socket,
+            **options,
+        ),
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
         max_field_size=MAX_FIELD_BYTES,
@@ -318,13 +325,10 @@
         fault = Fault(ResultCode.NO_BACKEND, f"{slot.server_id}: {exc}", 1000)
         return Error(Outcome("refused_connection", False, fault))
     except TimeoutError:
-        if connections is pooled:
-            retire_connections(clients, slot.server_id)
-        fault = Fault(
-            ResultCode.BACKEND_TIMEOUT, f"{slot.server_id} did not answer in time"
-        )
-        return Error(Outcome("timeout", True, fault))
+        return Error(_late_answer(clients, slot, connections is pooled))
     except (aiohttp.ClientError, OSError, ValueError) as exc:
+        if getattr(exc, "errno", None) == errno.ETIMEDOUT:
+            return Error(_late_answer(clients, slot, connections is pooled))
         detail = f"{slot.server_id}: {type(exc).__name__}"
         fault = Fault(ResultCode.BACKEND_FAILED, detail)
         return Error(Outcome("crashed", True, fault))
@@ -334,6 +338,14 @@
     return checked
 
 
+def _late_answer(clients, slot, is_pooled):
+    """Returns the Outcome for a server that did not answer, or not acknowledge."""
+    if is_pooled:
+        retire_connections(clients, slot.server_id)
+    detail = f"{slot.server_id} did not answer in time"
+    return Outcome("timeout", True, Fault(ResultCode.BACKEND_TIMEOUT, detail))
+
+
 def _is_own_answer(resp, exchange_id, connections, pooled):
     """Returns whether an answer belongs to the request that was sent.
 
