End the connections of callers that vanished silently in the daemon

A caller that vanished in the middle of a download, without a reset, kept its request in flight and its slot until the slot expired, 5 minutes after the deadline, and a planned stop waited for it until the end of its grace time.

Cause: the connections that uvicorn accepts have no TCP_USER_TIMEOUT. A response that is not acknowledged fills the buffers, and the task waits for room in them without a bound.

Evidence: test_caller_that_vanished_releases_its_slot drops all packets at the caller's end.

Accepted connections now have a user timeout of 30 s.

--- a/packages/daemon/src/flamingolift_daemon/httpserver.py
+++ b/packages/daemon/src/flamingolift_daemon/httpserver.py
@@ -11,6 +11,7 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from flamingolift_daemon.logs import logger
+from flamingolift_daemon.sockets import SLOW_READER_TIMEOUT_MS, set_user_timeout
 
 __all__ = ["EmbeddedServer", "make_app", "make_server", "track_caller", "write_problem"]
 
@@ -29,6 +30,15 @@
 
     refused = False
 
+    def connection_made(self, transport):
+        """Sets the socket options; called by the event loop.
+
+        Args:
+            transport: asyncio transport.
+        """
+        set_user_timeout(transport.get_extra_info("socket"), SLOW_READER_TIMEOUT_MS)
+        super().connection_made(transport)
+
     def data_received(self, data):
         """Takes input, or discards it after a refusal.
 
--- a/packages/daemon/src/flamingolift_daemon/sockets.py
+++ b/packages/daemon/src/flamingolift_daemon/sockets.py
@@ -12,8 +12,9 @@
 UNACKED_TIMEOUT_MS = 600
 """TCP_USER_TIMEOUT of a connection to a backend server (ms): long enough for two
 retransmissions between regions, and less than the usual deadline of a request."""
-SLOW_READER_TIMEOUT_MS = 5000
-"""TCP_USER_TIMEOUT of a caller's connection (ms), whose peer may read slowly."""
+SLOW_READER_TIMEOUT_MS = 30_000
+"""TCP_USER_TIMEOUT of a caller's connection (ms). On Linux it also ends the connection
+of a caller that reads nothing for so long, as one that pauses a download."""
 
 
 def set_user_timeout(sock, timeout_ms):
--- a/packages/daemon/src/flamingolift_daemon/tests/test_silent_connections.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_silent_connections.py
@@ -6,17 +6,30 @@
 import time
 
 from droppedpackets import drop_packets
+from flamingolift_daemon import httpserver
 from flamingolift_daemon.backendclient import (
     BackendClients,
     close_answer,
     close_clients,
     send_request,
 )
+from flamingolift_daemon.callerapi import make_caller_app
 from flamingolift_daemon.clock import Clock
+from flamingolift_daemon.httpserver import make_server
 from flamingolift_daemon.metrics import Metrics
-from localinstance import HOST, LONG_S, WAIT_S
+from flamingolift_daemon.operatorapi import make_operator_app
+from flamingolift_daemon.sockets import SLOW_READER_TIMEOUT_MS
+from localinstance import (
+    HOST,
+    LONG_S,
+    WAIT_S,
+    run_backend,
+    run_caller_listener,
+    run_local_instance,
+)
 from test_endless_answers import FakeSlot
 
+TEST_TIMEOUT_MS = 1000
 HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nExchange-Id: {}\r\n\r\n"
 
 
@@ -87,3 +100,55 @@
         assert (result.error.name, result.error.sent) == ("timeout", True)
         assert await exchange(clients, port, body_wanted) == 600
     await close_clients(clients)
+
+
+async def stream_chunks(_reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n")
+    with contextlib.suppress(ConnectionError):
+        while True:
+            writer.write(bytes(1 << 16))
+            await writer.drain()
+
+
+# Guards against callers that vanish silently and hold a slot until it expires.
+async def test_caller_that_vanished_releases_its_slot(monkeypatch):
+    monkeypatch.setattr(httpserver, "SLOW_READER_TIMEOUT_MS", TEST_TIMEOUT_MS)
+    async with (
+        run_backend(stream_chunks) as backend,
+        run_local_instance([("packs", "download")], [backend]) as instance,
+        run_caller_listener(instance) as port,
+    ):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET /s/packs/x HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        assert instance.in_flight == 1
+        drop_packets(writer.get_extra_info("socket"))
+        async with asyncio.timeout(TEST_TIMEOUT_MS / 1000.0 + WAIT_S):
+            while instance.in_flight or any(p.grants for p in instance.pools.values()):
+                await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+
+async def test_options_of_accepted_connections():
+    async with run_local_instance([("packs", "download")], [9]) as instance:
+        for app in (make_caller_app(instance), make_operator_app(instance)):
+            server = make_server(app, HOST, 0, 32_768)
+            serving = asyncio.ensure_future(server.serve())
+            await wait_until(lambda server=server: server.started)
+            port = server.servers[0].sockets[0].getsockname()[1]
+            _reader, writer = await asyncio.open_connection(HOST, port)
+            connections = server.server_state.connections
+            await wait_until(lambda connections=connections: connections)
+            for conn in connections:
+                sock = conn.transport.get_extra_info("socket")
+                assert user_timeout_ms(sock) == SLOW_READER_TIMEOUT_MS
+                assert not sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            writer.close()
+            server.should_exit = True
+            await serving
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
