Close connections of callers that send no whole request head

Callers of the daemon could hold a connection for as long as they liked, by sending nothing or a part of a request's head; one that vanished before its first request left its socket open for good.

Cause: uvicorn starts its keep-alive timeout after a response, and ends it when bytes arrive.

It does not run while a request is in progress, as before, which test_request_in_progress_outlives_the_idle_timeout shows.

--- a/packages/daemon/src/flamingolift_daemon/httpserver.py
+++ b/packages/daemon/src/flamingolift_daemon/httpserver.py
@@ -38,6 +38,7 @@
         """
         set_user_timeout(transport.get_extra_info("socket"), SLOW_READER_TIMEOUT_MS)
         super().connection_made(transport)
+        self._start_idle_timeout()
 
     def data_received(self, data):
         """Takes input, or discards it after a refusal.
@@ -47,6 +48,19 @@
         """
         if not self.refused:
             super().data_received(data)
+            self._start_idle_timeout()
+
+    def _start_idle_timeout(self):
+        """Starts the keep-alive timeout unless a request is in progress.
+
+        uvicorn starts it after responses only, and ends it when bytes arrive, so that
+        a connection without a whole request head would stay open.
+        """
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and self.timeout_keep_alive_task is None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def send_400_response(self, msg):
         """Sends the problem document and closes the connection.
--- a/packages/daemon/src/flamingolift_daemon/tests/test_silent_connections.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_silent_connections.py
@@ -5,6 +5,7 @@
 import socket
 import time
 
+import pytest
 from droppedpackets import drop_packets
 from flamingolift_daemon import httpserver
 from flamingolift_daemon.backendclient import (
@@ -30,6 +31,7 @@
 from test_endless_answers import FakeSlot
 
 TEST_TIMEOUT_MS = 1000
+IDLE_S = 0.3
 HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nExchange-Id: {}\r\n\r\n"
 
 
@@ -129,6 +131,44 @@
         writer.transport.abort()
 
 
+# Guards against connections without a whole request head that stay open.
+@pytest.mark.parametrize("part", [b"", b"GET /s/packs/x HTTP/1.1\r\nHost: a\r\n"])
+async def test_connection_without_a_request_is_closed_when_idle(monkeypatch, part):
+    monkeypatch.setattr(httpserver, "KEEP_ALIVE_S", IDLE_S)
+    async with (
+        run_local_instance([("packs", "download")], [9]) as instance,
+        run_caller_listener(instance) as port,
+    ):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(part)
+        async with asyncio.timeout(WAIT_S):
+            assert await reader.read() == b""
+        writer.close()
+
+
+# Guards against an idle timeout that ends requests in progress.
+async def test_request_in_progress_outlives_the_idle_timeout(monkeypatch):
+    monkeypatch.setattr(httpserver, "KEEP_ALIVE_S", IDLE_S)
+
+    async def answer_late(_reader, writer):
+        await asyncio.sleep(3 * IDLE_S)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+
+    async with (
+        run_backend(answer_late) as backend,
+        run_local_instance([("packs", "download")], [backend]) as instance,
+        run_caller_listener(instance) as port,
+    ):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        for _request in range(2):
+            writer.write(b"GET /s/packs/x HTTP/1.1\r\nHost: a\r\n\r\n")
+            async with asyncio.timeout(WAIT_S):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200")
+                assert await reader.readexactly(4) == b"body"
+        writer.close()
+
+
 async def test_options_of_accepted_connections():
     async with run_local_instance([("packs", "download")], [9]) as instance:
         for app in (make_caller_app(instance), make_operator_app(instance)):
