--- a/packages/daemon/src/flamingolift_daemon/tests/test_peer_errors.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_peer_errors.py
@@ -13,11 +13,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_pair():
-    """Yields an instance and the PeerLink that another one has opened to it."""
+async def run_pair(**options):
+    """Yields two instances and the PeerLink that the second has opened to the first."""
     async with (
-        run_local_instance(SERVICES, [9], instance_id="accra-1") as first,
-        run_local_instance(SERVICES, [9], instance_id="accra-2") as second,
+        run_local_instance(SERVICES, [9], instance_id="accra-1", **options) as first,
+        run_local_instance(SERVICES, [9], instance_id="accra-2", **options) as second,
     ):
 
         async def accept(reader, writer):
@@ -28,7 +28,7 @@
         entry.peer_port = server.sockets[0].getsockname()[1]
         link = (await peerlinks.get_link(second, entry)).ok
         try:
-            yield first, link
+            yield first, second, link
         finally:
             server.close()
             peerlinks.close_link(link)
@@ -61,7 +61,7 @@
 
 # Guards against one message that ends the calls of all others on its stream.
 async def test_error_in_a_handler_fails_its_own_call_alone():
-    async with run_pair() as (instance, link):
+    async with run_pair() as (instance, _second, link):
         instance.handlers[peer.Acquire] = lambda *_args: None
         instance.handlers[peer.Claim] = fail
         acquire = peer.Acquire(service="seats", tenant="t", wait_ms=1, hold_ms=1)
@@ -76,7 +76,7 @@
 
 # Guards against a booking forwarded to its home that waits there without an answer.
 async def test_error_at_the_home_is_answered_at_once(monkeypatch):
-    async with run_pair() as (instance, link):
+    async with run_pair() as (instance, _second, link):
         monkeypatch.setattr(bookinghandlers, "run_at_home", fail_later)
         async with asyncio.timeout(WAIT_S):
             answer = await peerlinks.call_peer(link, make_booking(instance), LONG_S)
