--- a/packages/daemon/src/flamingolift_daemon/backendclient.py
+++ b/packages/daemon/src/flamingolift_daemon/backendclient.py
@@ -1,6 +1,7 @@
 """HTTP connections to the backend servers."""
 
 import asyncio
+import errno
 import itertools
 import secrets
 
@@ -10,6 +11,7 @@
 from yarl import URL
 
 from flamingolift_daemon.metrics import count
+from flamingolift_daemon.sockets import make_server_socket
 
 __all__ = [
     "BackendAnswer",
@@ -41,6 +43,8 @@
 EXCHANGE_HEADER = "Exchange-Id"
 """Header field that a backend server may echo, so that a late or duplicate answer on
 the same connection is not taken for the answer to this request."""
+USABLE_STATUSES = range(200, 600)
+"""Statuses of final answers that the listener for callers can encode."""
 KEEP_ALIVE_S = 15.0
 READ_BUFFER_BYTES = 65_536
 MAX_FIELD_BYTES = 16_384
@@ -107,7 +111,12 @@
     if not options:
         options = {"keepalive_timeout": KEEP_ALIVE_S}
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, local_addr=(host, 0), **options),
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            local_addr=(host, 0),
+            socket_factory=make_server_socket,
+            **options,
+        ),
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
         max_field_size=MAX_FIELD_BYTES,
@@ -144,7 +153,8 @@
         resp: aiohttp response.
         connections: ServerConnections that it came over.
         status: HTTP status.
-        headers: List of end-to-end (name, value).
+        headers: List of end-to-end (name, value), decoded as Latin-1, as the listener
+            for callers encodes them.
     """
 
     __slots__ = ("connections", "headers", "resp", "status")
@@ -153,9 +163,13 @@
         self.resp = resp
         self.connections = connections
         self.status = resp.status
+        received = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in resp.raw_headers
+        ]
         self.headers = [
             (name, value)
-            for name, value in end_to_end_headers(resp.headers.items())
+            for name, value in end_to_end_headers(received)
             if name.lower() != EXCHANGE_HEADER.lower()
         ]
 
@@ -311,13 +325,10 @@
         fault = Fault(ResultCode.NO_BACKEND, f"{slot.server_id}: {exc}", 1000)
         return Error(Outcome("refused_connection", False, fault))
     except TimeoutError:
-        if connections is pooled:
-            retire_connections(clients, slot.server_id)
-        fault = Fault(
-            ResultCode.BACKEND_TIMEOUT, f"{slot.server_id} did not answer in time"
-        )
-        return Error(Outcome("timeout", True, fault))
+        return Error(_late_answer(clients, slot, connections is pooled))
     except (aiohttp.ClientError, OSError, ValueError) as exc:
+        if getattr(exc, "errno", None) == errno.ETIMEDOUT:
+            return Error(_late_answer(clients, slot, connections is pooled))
         detail = f"{slot.server_id}: {type(exc).__name__}"
         fault = Fault(ResultCode.BACKEND_FAILED, detail)
         return Error(Outcome("crashed", True, fault))
@@ -327,6 +338,14 @@
     return checked
 
 
+def _late_answer(clients, slot, is_pooled):
+    """Returns the Outcome for a server that did not answer, or not acknowledge."""
+    if is_pooled:
+        retire_connections(clients, slot.server_id)
+    detail = f"{slot.server_id} did not answer in time"
+    return Outcome("timeout", True, Fault(ResultCode.BACKEND_TIMEOUT, detail))
+
+
 def _is_own_answer(resp, exchange_id, connections, pooled):
     """Returns whether an answer belongs to the request that was sent.
 
@@ -361,6 +380,10 @@
         return Error(
             Outcome("not_run", False, Fault(ResultCode.OVERLOADED, detail, 1000))
         )
+    if resp.status not in USABLE_STATUSES:
+        resp.close()
+        detail = f"{slot.server_id}: the answer has status {resp.status}"
+        return Error(Outcome("ok", True, Fault(ResultCode.BACKEND_FAILED, detail)))
     if not is_complete_framing(resp, method):
         resp.close()
         detail = f"{slot.server_id}: the answer has no length and is not chunked"
--- a/packages/daemon/src/flamingolift_daemon/callerapi.py
+++ b/packages/daemon/src/flamingolift_daemon/callerapi.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from expression import Error
 from flamingolift_decisions.hashing import digest_request
 from flamingolift_decisions.policyrules import rules_for
 from flamingolift_decisions.steering import block_of, origin_of
@@ -20,6 +21,7 @@
 from flamingolift_daemon.lookups import look_up
 from flamingolift_daemon.metrics import count, record_duration_ms
 from flamingolift_daemon.streaming import stream_answer
+from flamingolift_daemon.waits import bounded_wait
 
 __all__ = ["make_caller_app"]
 
@@ -67,6 +69,21 @@
         resp.media = {"ok": True}
 
 
+class StopAnnouncer:
+    """Middleware that announces the end of each connection during a stop."""
+
+    def __init__(self, instance):
+        self.instance = instance
+
+    async def process_response(self, req, resp, resource, req_succeeded):
+        """Closes the connection after the response while the instance stops.
+
+        A later request would be sent on a connection that is about to be closed.
+        """
+        if self.instance.stopping.is_set():
+            resp.set_header("Connection", "close")
+
+
 def is_ready(instance):
     """Returns whether the instance can answer look-ups and requests."""
     return instance.policy is not None and bool(instance.serving)
@@ -79,6 +96,7 @@
         instance: Instance.
     """
     app = make_app()
+    app.add_middleware(StopAnnouncer(instance))
     app.add_route("/v1/lookup", LookupResource(instance))
     app.add_route("/healthz", HealthResource(instance, needs_policy=False))
     app.add_route("/readyz", HealthResource(instance, needs_policy=True))
@@ -174,7 +192,7 @@
                 "the key comes with the answer to a look-up of the service",
             )
         )
-    body = await _read_body(req, instance.cfg.max_booking_bytes)
+    body = await _read_body_in_time(instance, req, request.deadline)
     left_s = request.deadline - instance.clock.now()
     booking = peer.Booking(
         key=key,
@@ -186,7 +204,7 @@
         tenant=request.tenant,
         deadline_ms=max(0, int(left_s * 1000)),
     )
-    routed = await route_booking(instance, booking)
+    routed = await _route_until_stopped(instance, booking)
     if routed.is_error():
         raise FaultError(routed.error)
     answer = routed.ok
@@ -199,6 +217,32 @@
         resp.set_header(REPLAY_HEADER, "true")
 
 
+async def _route_until_stopped(instance, booking):
+    """Routes a booking; its outcome is unknown if the instance stops before."""
+    try:
+        async with bounded_wait(instance.booking_waits, None):
+            return await route_booking(instance, booking)
+    except TimeoutError:
+        detail = "the instance stopped before the outcome was known"
+        return Error(Fault(ResultCode.OUTCOME_UNKNOWN, detail, 1000))
+
+
+async def _read_body_in_time(instance, req, deadline):
+    """Reads the body of a booking until the deadline, or the end of a stop.
+
+    Raises:
+        FaultError: The body exceeds the limit, or did not arrive in time.
+    """
+    left_s = max(0.0, deadline - instance.clock.now())
+    try:
+        async with bounded_wait(instance.slot_waits, left_s):
+            return await _read_body(req, instance.cfg.max_booking_bytes)
+    except TimeoutError:
+        stopped = instance.slot_waits.ended
+        code = ResultCode.DRAINING if stopped else ResultCode.REQUEST_TIMEOUT
+        raise FaultError(Fault(code, "the body did not arrive in time", 1000)) from None
+
+
 async def _read_body(req, limit):
     """Reads a body of bounded size.
 
