Refuse as not run what no server has been sent

Callers were answered 504 when the deadline of a request passed while only connects to servers had been tried, and 502 when such a connect was taken for a slow server.

Cause: a send counted as sent from its start, not from its first byte. A SendRecord now notes when bytes are written; a send that was cut short before that is unreached, or not_sent when its connect had just begun, which says nothing about the server. DEADLINE_BEFORE_RUN has said that the request did not run all along, while its status 504 promises nothing; it becomes 503. The daemon uses it for requests without time left, where the same holds; no test stated the old status.

--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -19,7 +19,13 @@
 from flamingolift_front import limitgrants
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.requesttrace import SendRecord
-from flamingolift_front.sending import UNKNOWN_OUTCOMES, Outcome, send_request
+from flamingolift_front.sending import (
+    CONNECT_TIMEOUT_S,
+    NOT_RUN_OUTCOMES,
+    UNKNOWN_OUTCOMES,
+    Outcome,
+    send_request,
+)
 from flamingolift_front.sendresults import record_send_result
 from flamingolift_front.state import response_times_for, retry_budget_for
 
@@ -77,14 +83,13 @@
         async with asyncio.timeout(deadline + DEADLINE_GRACE_S - time.monotonic()):
             return await _run_attempts(front, req, route, trace, deadline)
     except TimeoutError:
-        return Error(_timeout_fault(trace))
+        return Error(_timeout_fault(front, trace))
 
 
-def _timeout_fault(trace):
-    if not trace.sends:
-        return Fault(
-            ResultCode.DEADLINE_BEFORE_RUN, "no server was reached before the deadline"
-        )
+def _timeout_fault(front, trace):
+    if all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends):
+        detail = "no server ran the request before the deadline"
+        return _retryable_fault(front, ResultCode.DEADLINE_BEFORE_RUN, detail)
     server_id = trace.sends[-1].server_id
     return Fault(
         ResultCode.BACKEND_TIMEOUT, f"{server_id} did not answer before the deadline"
@@ -244,12 +249,12 @@
         front.metrics.first_sends.labels(trace.service, rank == 0).inc()
     try:
         send.outcome, forwarded = await _send_with_attempt_timeout(
-            front, req, route, trace, backend, deadline
+            front, req, route, trace, backend, deadline, send
         )
     except asyncio.CancelledError:
         # The caller disconnected, or the deadline passed without a response.
         if time.monotonic() >= deadline:
-            send.outcome = Outcome.LATE
+            send.outcome = _outcome_at_deadline(send, started)
         record_send_result(front, trace, backend, send, None, started)
         raise
     except Exception:
@@ -260,7 +265,16 @@
     return send.outcome, forwarded
 
 
-async def _send_with_attempt_timeout(front, req, route, trace, backend, deadline):
+def _outcome_at_deadline(send, started):
+    """Returns the outcome of a send that the deadline cut short."""
+    if send.sent:
+        return Outcome.LATE
+    # A connect that has just begun says nothing about the server.
+    waited_s = time.monotonic() - started
+    return Outcome.UNREACHED if waited_s >= CONNECT_TIMEOUT_S / 2 else Outcome.NOT_SENT
+
+
+async def _send_with_attempt_timeout(front, req, route, trace, backend, deadline, send):
     """Sends a request, and cancels it once another server is worth trying.
 
     An idempotent request that takes much longer than the route's usual response
@@ -270,7 +284,7 @@
     started = time.monotonic()
     wait_s = attempttimeout.attempt_timeout(times)
     if not route.idempotent or wait_s >= deadline - started:
-        return await send_request(front, req, route, backend, deadline)
+        return await send_request(front, req, route, backend, deadline, send)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(None) as timer:
@@ -281,12 +295,14 @@
 
             handle = loop.call_later(wait_s, cancel_if_overdue)
             try:
-                return await send_request(front, req, route, backend, deadline)
+                return await send_request(front, req, route, backend, deadline, send)
             finally:
                 handle.cancel()
     except TimeoutError:
         if not timer.expired():
             raise
+    if not send.sent:
+        return Outcome.UNREACHED, None
     log_event(
         front.log,
         "send_overdue",
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -12,16 +12,18 @@
         server_id: Id of the server.
         rank: Rank of the server in the rendezvous order of the object.
         load: Estimated requests on the server before the send (count).
+        sent: Whether a connection was made and bytes of the request written to it.
         outcome: Outcome.
         elapsed_ms: Time that the send took (ms).
     """
 
-    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "server_id")
+    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "sent", "server_id")
 
     def __init__(self, server_id, rank, load):
         self.server_id = server_id
         self.rank = rank
         self.load = load
+        self.sent = False
         self.outcome = Outcome.CANCELLED
         self.elapsed_ms = 0.0
 
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -10,6 +10,8 @@
 from flamingolift_front.httpcall import header
 
 __all__ = [
+    "CONNECT_TIMEOUT_S",
+    "NOT_RUN_OUTCOMES",
     "UNKNOWN_OUTCOMES",
     "CallerRequest",
     "ForwardedResponse",
@@ -26,16 +28,17 @@
     """How one send to a backend server ended.
 
     NOT_RUN is a response that says so in its header, WRONG_SERVER a status 421,
-    UNREACHED a failed connect, LOST a connection that broke off or an invalid
-    response, SILENT a connection whose peer stopped acknowledging, LATE a missed
-    deadline, OVERDUE a send that was cancelled in favour of another server and
-    CANCELLED a send whose caller disconnected.
+    UNREACHED a failed connect, NOT_SENT a connect that the deadline cut short, LOST a
+    connection that broke off or an invalid response, SILENT a connection whose peer
+    stopped acknowledging, LATE a missed deadline, OVERDUE a send that was cancelled in
+    favour of another server and CANCELLED a send whose caller disconnected.
     """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
     WRONG_SERVER = "wrong_server"
     UNREACHED = "unreached"
+    NOT_SENT = "not_sent"
     LOST = "lost"
     SILENT = "silent"
     LATE = "late"
@@ -47,6 +50,10 @@
     (Outcome.LOST, Outcome.SILENT, Outcome.LATE, Outcome.OVERDUE)
 )
 """Outcomes after which it is unknown whether the server ran the request."""
+NOT_RUN_OUTCOMES = frozenset(
+    (Outcome.NOT_RUN, Outcome.WRONG_SERVER, Outcome.UNREACHED, Outcome.NOT_SENT)
+)
+"""Outcomes after which the server has not run the request."""
 
 
 class CallerRequest:
@@ -117,7 +124,7 @@
         self.backend = backend
 
 
-async def send_request(front, req, route, backend, deadline):
+async def send_request(front, req, route, backend, deadline, send):
     """Sends a request to a server and reads its response.
 
     Args:
@@ -127,6 +134,8 @@
         backend: Backend.
         deadline: Earlier of the caller's deadline and the route's timeout (s,
             monotonic).
+        send: SendRecord, which tells whether the request was sent even when this
+            function is cancelled.
 
     Returns:
         Tuple of an Outcome and a ForwardedResponse, which is None when there is no
@@ -148,6 +157,7 @@
         front.pool.opened += 1
         is_reused = False
     finished = False
+    send.sent = True
     try:
         call = _start_call(front, req, stream, entry, deadline)
         matches = _response_matcher(front, req, is_reused)
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -38,7 +38,7 @@
             response_times_for(front, trace.route), elapsed_s
         )
     front.metrics.sends.labels(trace.service, send.outcome.value).inc()
-    if send.outcome is not Outcome.CANCELLED:
+    if send.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
         _record_outcome(front, backend, send.outcome, forwarded)
 
 
--- a/packages/model/src/flamingolift_model/codes.py
+++ b/packages/model/src/flamingolift_model/codes.py
@@ -132,7 +132,7 @@
         503, 30, "no", "The booking table is full of unexpired keys."
     ),
     ResultCode.DEADLINE_BEFORE_RUN: ResultCodeInfo(
-        504,
+        503,
         30,
         "no",
         "The deadline passed before the request was sent to a backend server.",
