Suspend no server for a cut of the instance's own paths

After an instance had been cut off from the servers, callers were refused for up to 4 s more, since each failed connect had suspended a healthy server, and its open connections had been closed with it.

Cause: a failed connect counted as the server's fault alone. The evidence of serverpaths is now recorded at each send and connect. While a service is cut off, none of its servers is suspended for unreached, silent or late sends, and the suspensions that the same evidence caused are lifted when the cut is found. A refused connect leaves the server's open connections alone: they may live on while new ones are refused, and a server that failed resets them. A task tries one server of each such service about every 0.3 s, so that the return is noticed without a caller's request. It waits on an event meanwhile.

Evidence: without the change in sendresults, test_cut_paths failed as no cut was found ('list index out of range', 'assert [] == [reads]') and as the open connection was closed ('assert not True').

--- a/packages/decisions/src/flamingolift_decisions/serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/serverpaths.py
@@ -13,6 +13,7 @@
     "ServerPaths",
     "cut_off_services",
     "is_cut_off",
+    "lift_suspensions",
     "record_reached",
     "record_unreached",
 ]
@@ -118,3 +119,18 @@
 def cut_off_services(paths):
     """Returns the names of the services that are cut off, sorted."""
     return sorted(paths.cut_off_at)
+
+
+def lift_suspensions(view, server_ids):
+    """Ends the suspensions of servers whose failures were not their own.
+
+    Args:
+        view: BackendView.
+        server_ids: Ids of the servers; those that are not known are ignored.
+    """
+    for server_id in server_ids:
+        backend = view.backends.get(server_id)
+        if backend is not None:
+            backend.suspended_until = backend.trial_until = -math.inf
+            backend.next_cold_request_at = -math.inf
+            backend.failures = 0
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -127,6 +127,7 @@
                 ("store_lost", "1 while the store does not answer"),
                 ("instances", "Instances known to be live"),
                 ("backend_servers", "Backend servers known"),
+                ("cut_off_services", "Services from which the instance is cut off"),
                 ("connections", "Callers' open connections"),
                 ("resident_bytes", "Resident memory of the process (bytes)"),
             )
@@ -145,6 +146,7 @@
     gauges["store_lost"].set(view.store_failed_at is not None)
     gauges["instances"].set(len(view.instances))
     gauges["backend_servers"].set(len(view.backends.backends))
+    gauges["cut_off_services"].set(len(front.paths.cut_off_at))
     gauges["connections"].set(len(front.connections))
     gauges["resident_bytes"].set(_resident_bytes())
     front.metrics.log_dropped.set(sum(front.log.dropped.values()))
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -5,7 +5,14 @@
 import signal
 import time
 
-from flamingolift_front import callers, limitgrants, lookups, loopwatch, serverpool
+from flamingolift_front import (
+    callers,
+    limitgrants,
+    lookups,
+    loopwatch,
+    pathwatch,
+    serverpool,
+)
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.eventlog import flush_log, log_event
@@ -51,6 +58,7 @@
         pull_from_peers,
         _close_idle_connections,
         loopwatch.watch_loop,
+        pathwatch.watch_paths,
     ):
         start_task(front, _run_forever(front, function))
     registration_task = start_task(front, maintain_registration(front))
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -2,11 +2,12 @@
 
 import time
 
-from flamingolift_decisions import attempttimeout, backends, loads
+from flamingolift_decisions import attempttimeout, backends, loads, serverpaths
 
 from flamingolift_front import httpcall, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
+from flamingolift_front.pathrecords import note_reached, note_unreached
 from flamingolift_front.sending import Outcome
 from flamingolift_front.state import response_times_for
 
@@ -45,6 +46,8 @@
 def _record_outcome(front, backend, outcome, forwarded):
     """Updates the server's load, or suspends it after failures."""
     now = time.monotonic()
+    if forwarded is not None:
+        note_reached(front, backend.entry.service)
     if outcome in (Outcome.ANSWERED, Outcome.NOT_RUN):
         if forwarded.call is None:
             backends.record_answer(backend)
@@ -73,15 +76,15 @@
 
 
 def _record_failure(front, backend, outcome, now):
-    """Suspends a server after too many failures."""
-    view, server_id = front.view.backends, backend.entry.server_id
-    if outcome is Outcome.LOST:
-        suspension_s = backends.record_lost_answer(view, backend, now)
-    elif outcome in (Outcome.LATE, Outcome.OVERDUE):
-        suspension_s = backends.record_timeout(view, backend, now)
-    else:
-        suspension_s = backends.suspend_backend(view, backend, now)
-    if outcome not in (Outcome.LATE, Outcome.OVERDUE) or suspension_s:
+    """Suspends a server after too many failures, unless the instance is cut off.
+
+    Connections that are open may live on while new ones are refused; a server that
+    failed resets them itself.
+    """
+    server_id = backend.entry.server_id
+    suspension_s = _suspension(front, backend, outcome, now)
+    stays_open = outcome in (Outcome.LATE, Outcome.OVERDUE, Outcome.UNREACHED)
+    if not stays_open or (suspension_s and outcome is not Outcome.UNREACHED):
         serverpool.close_connections(front.pool, server_id)
     log_event(
         front.log,
@@ -92,6 +95,22 @@
     )
 
 
+def _suspension(front, backend, outcome, now):
+    """Returns the time for which a server is suspended for a failure (s)."""
+    view = front.view.backends
+    if outcome in (Outcome.UNREACHED, Outcome.SILENT):
+        if note_unreached(front, backend, now):
+            return 0.0
+        return backends.suspend_backend(view, backend, now)
+    if outcome is Outcome.LOST:
+        return backends.record_lost_answer(view, backend, now)
+    if outcome in (Outcome.LATE, Outcome.OVERDUE):
+        if serverpaths.is_cut_off(front.paths, backend.entry.service):
+            return 0.0
+        return backends.record_timeout(view, backend, now)
+    return backends.suspend_backend(view, backend, now)
+
+
 def _record_load(front, backend, outcome, headers, now):
     """Records the load that a server reports; one that rejects a request is full."""
     if outcome is Outcome.NOT_RUN:
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -10,6 +10,7 @@
 from flamingolift_decisions.attempttimeout import AnswerTimes
 from flamingolift_decisions.backends import BackendView
 from flamingolift_decisions.instancecount import InstanceCount
+from flamingolift_decisions.serverpaths import ServerPaths
 from flamingolift_decisions.windowbudget import WindowBudget
 
 from flamingolift_front.serverpool import ServerPool
@@ -213,6 +214,8 @@
         pool: ServerPool.
         affinity_cache: AffinityCache.
         response_times: Map of route name to AnswerTimes.
+        paths: ServerPaths.
+        cut_off: Event that is set when services are newly found to be cut off.
         retry_budgets: Map of service name to WindowBudget.
         connections: Set of the callers' CallerConnection that are open.
         links: Map of (host, port) to the PeerLink to a relay.
@@ -232,6 +235,7 @@
         "affinity_cache",
         "cfg",
         "connections",
+        "cut_off",
         "exit_at",
         "failed_grantors",
         "grant_links",
@@ -240,6 +244,7 @@
         "links",
         "log",
         "metrics",
+        "paths",
         "pool",
         "response_times",
         "retry_budgets",
@@ -259,6 +264,8 @@
         self.metrics = metrics
         self.view = View()
         self.pool = ServerPool()
+        self.paths = ServerPaths()
+        self.cut_off = asyncio.Event()
         self.affinity_cache = AffinityCache()
         self.response_times = {}
         self.retry_budgets = {}
--- /dev/null
+++ b/packages/front/src/flamingolift_front/tests/test_cut_paths.py
@@ -0,0 +1,86 @@
+"""Instances that are cut off from the servers, and their return."""
+
+import asyncio
+import time
+
+import pytest
+from cutsites import (
+    HANG,
+    REFUSE,
+    cut_paths,
+    events,
+    heal_paths,
+    run_cut_site,
+    send,
+    wait_until,
+)
+from flamingolift_front.frontmetrics import render_metrics
+
+
+@pytest.fixture
+async def site(monkeypatch, tmp_path):
+    async with run_cut_site(monkeypatch, tmp_path, ["upland"]) as running:
+        yield running
+
+
+async def send_many(instance, path, count=6, first=100):
+    return await asyncio.gather(
+        *(send(instance, "GET", path, number=first + n) for n in range(count))
+    )
+
+
+def suspended(instance):
+    now = time.monotonic()
+    known = instance.front.view.backends.backends.values()
+    return [b.entry.server_id for b in known if now < b.suspended_until]
+
+
+# Guards against healthy servers that stay suspended after a cut of the instance's own
+# paths, and against a return that goes unnoticed until a caller's request tries it.
+@pytest.mark.parametrize("mode", [REFUSE, HANG])
+async def test_own_cut_suspends_no_server_and_its_end_is_noticed(site, mode):
+    instance = site.instances[0]
+    cut_paths(site, instance, mode)
+    replies = await send_many(instance, "/read/a")
+    assert {status for status, _data in replies} == {503}
+    found = events(instance, "servers_cut_off")[0]
+    assert "reads" in found["services"]
+    assert found["servers"] >= 3
+    assert b"flamingolift_cut_off_services" in render_metrics(instance.front)
+    assert not suspended(instance)
+    heal_paths(site, instance)
+    await wait_until(lambda: events(instance, "servers_regained"))
+    status, _data = await send(instance, "GET", "/read/a", number=9)
+    assert status == 200
+    assert not suspended(instance)
+
+
+async def test_one_service_is_cut_off_on_its_own(site):
+    instance = site.instances[0]
+    cut_paths(site, instance, REFUSE, "reads")
+    await send_many(instance, "/read/a")
+    assert list(instance.front.paths.cut_off_at) == ["reads"]
+    status, _data = await send(instance, "GET", "/row/a", number=1)
+    assert status == 200
+    assert list(instance.front.paths.cut_off_at) == ["reads"]
+
+
+async def test_server_that_fails_alone_is_suspended(site):
+    instance = site.instances[0]
+    cut_paths(site, instance, REFUSE, "reads-0")
+    replies = await send_many(instance, "/read/a", 20)
+    assert {status for status, _data in replies} == {200}
+    assert suspended(instance) == ["reads-0"]
+    assert not instance.front.paths.cut_off_at
+
+
+# Guards against live connections that are dropped because new ones are refused.
+async def test_refused_connect_keeps_the_open_connections_of_the_server(site):
+    instance = site.instances[0]
+    assert (await send(instance, "POST", "/book/a", body=b"seat"))[0] == 200
+    (idle,) = instance.front.pool.idle.values()
+    cut_paths(site, instance, REFUSE, "books")
+    status, _data = await send(instance, "POST", "/book/a", number=2, body=b"seat")
+    assert status == 503
+    assert len(idle) == 1
+    assert not idle[0].stream.ended
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -118,6 +118,15 @@
         "outcome",
         "suspended_s",
     ),
+    "servers_cut_off": (
+        "services",
+        "servers",
+        "age_s",
+    ),
+    "servers_regained": (
+        "service",
+        "cut_off_s",
+    ),
     "server_limit_changed": (
         "server",
         "change",
