Hand requests on when an instance does not reach the servers

An instance that would refuse a request because it is cut off from the service, or because its servers are unreached or suspended, now hands it on to an instance that reaches them. It asks some peers which services they cannot serve (/paths on the peer port) about every second while it needs them, and never per request. The request goes over a listener of its own, with the time and the attempts that are left, and the receiver serves or refuses it itself, under its own limits, so that nothing goes round in circles. Only a failed connect or a refusal that says that it did not run lets a further instance try: peers that are cut off at the same moment do not know it yet. Unsafe requests are handed on only if no server can have run them, on a new connection, and end as unknown when that connection is lost. Homes are kept. An entry without the new port takes none, so old and new builds mix.

Sends that end late or overdue on connections that had been idle count as evidence too: behind a partition they show no other sign.

Evidence: with the handing on turned off, 7 of the 7 tests of test_cut_off that were run failed ('assert 503 == 200', 'assert {503} == {200}').

--- a/packages/front/src/flamingolift_front/tests/cutsites.py
+++ b/integration/cutsites.py
@@ -8,7 +8,9 @@
 from flamingolift_decisions import backends, routetable
 from flamingolift_front import bytestream, pathwatch, run
 from flamingolift_front.eventlog import EventLog, flush_log
-from flamingolift_model.frontsettings import HeaderNames
+from flamingolift_front.frontmetrics import FrontMetrics
+from flamingolift_front.state import Front
+from flamingolift_model.frontsettings import FrontSettings
 from flamingolift_model.plan import BackendEntry, InstanceEntry
 from flamingolift_model.routing import (
     Route,
@@ -16,10 +18,10 @@
     ServiceSpec,
     WeightedService,
 )
+from flamingolift_platform.settings import HEADER_NAMES
 from flamingolift_standins.faultproxy import start_proxy
 from flamingolift_standins.platformserver import start_server, stop_server
 from flamingolift_standins.ports import free_ports
-from frontviews import make_front
 
 HOST = "shop.example"
 REFUSE, HANG = "refuse", "hang"
@@ -111,19 +113,26 @@
 
 async def _start_instance(site, folder, number, region):
     instance = CutInstance()
-    instance.front = front = make_front(retry_extra=100)
-    front.started_at -= 100.0
-    front.header_names = HeaderNames(
-        expected_server="expect-instance", not_run="not-executed"
+    name, ports = f"front-{number}", free_ports(5)
+    cfg = FrontSettings(
+        instance_id=name,
+        region=region,
+        failure_domain=f"{region}-{number % 2}",
+        host="127.0.0.1",
+        caller_port=ports[0],
+        ready_port=ports[1],
+        lookup_port=ports[2],
+        peer_port=ports[3],
+        handover_port=ports[4],
+        domain_regions={},
+        retry_extra=100,
     )
-    cfg = front.cfg
-    cfg.instance_id, cfg.region = f"front-{number}", region
-    cfg.ready_port = cfg.lookup_port = 0
-    cfg.caller_port, cfg.peer_port = free_ports(2)
-    os.close(front.log.fd)
-    instance.log_path = folder / f"{cfg.instance_id}.log"
+    instance.log_path = folder / f"{name}.log"
     fd = os.open(instance.log_path, os.O_WRONLY | os.O_CREAT)
-    front.log = EventLog(fd, cfg.instance_id)
+    log = EventLog(fd, name)
+    instance.front = front = Front(cfg, HEADER_NAMES, None, log, FrontMetrics())
+    # The fixed part of the retry budget is available some time after the start.
+    front.started_at -= 100.0
     services = [ServiceSpec(name=name) for name in SERVICES]
     policy = RoutingPolicy(number=1, routes=ROUTES, services=services)
     front.view.table = routetable.build_route_table(policy)
@@ -155,6 +164,7 @@
         caller_port=cfg.caller_port,
         peer_port=cfg.peer_port,
         operator_port=1,
+        handover_port=cfg.handover_port,
     )
 
 
@@ -248,7 +258,7 @@
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"Request-Id: q{number}",
-        f"Request-Deadline-Ms: {deadline_ms}",
+        f"Deadline-Ms: {deadline_ms}",
         "Connection: close",
         *fields,
     ]
--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -26,7 +26,7 @@
 max_fds = 512
 link_mbps = 25
 [network]
-internal_ports = [{metrics}, {metrics}]
+internal_ports = [{handover}, {metrics}]
 seeds = []
 [network.listen]
 front = "127.0.0.1:{front}"
@@ -78,8 +78,8 @@
 
     Attributes:
         name: Instance name.
-        ports: Map of "front", "ready", "control", "directory" and "metrics" to
-            TCP ports.
+        ports: Map of "front", "ready", "control", "directory", "metrics" and
+            "handover" to TCP ports.
         process: Process.
         log_path: Path of its log file.
         settings_path: Path of its settings file.
@@ -160,7 +160,7 @@
 async def start_front(fleet, name, store_port=None):
     """Starts a front and returns it; it need not be ready yet."""
     store_port = store_port or fleet.store.port
-    names = ("front", "ready", "control", "directory", "metrics")
+    names = ("front", "ready", "control", "directory", "metrics", "handover")
     ports = dict(zip(names, free_ports(len(names)), strict=True))
     settings_path = fleet.folder / f"{name}.toml"
     settings_path.write_text(SETTINGS.format(name=name, store=store_port, **ports))
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -18,6 +18,7 @@
     "eligible_backends",
     "end_evacuation",
     "is_cold",
+    "is_in_use",
     "is_withheld",
     "record_answer",
     "record_lost_answer",
@@ -280,13 +281,12 @@
     return now < backend.cold_until or now < backend.trial_until
 
 
-def _is_eligible(view, backend, route, now):
+def is_in_use(view, backend, now):
+    """Returns whether a server is neither leaving, evacuated nor suspended."""
     entry = backend.entry
     if entry.state == "leaving" or entry.failure_domain in view.evacuations:
         return False
-    if now < backend.suspended_until:
-        return False
-    return not route.home_regions or entry.region in route.home_regions
+    return now >= backend.suspended_until
 
 
 def eligible_backends(view, service, route, now):
@@ -303,9 +303,11 @@
         next request is due. Servers that are withheld because of their limit are
         among them.
     """
-    warm, cold = [], []
+    warm, cold, homes = [], [], route.home_regions
     for backend in view.by_service.get(service, ()):
-        if not _is_eligible(view, backend, route, now):
+        if homes and backend.entry.region not in homes:
+            continue
+        if not is_in_use(view, backend, now):
             continue
         if not is_cold(backend, now):
             warm.append(backend)
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -32,6 +32,7 @@
             first request.
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
+        from_instance: Whether another instance hands requests on over it.
         closing: Whether the connection closes after the current response.
         req: CallerRequest that was read whole and has no complete answer yet, or
             None.
@@ -40,6 +41,7 @@
     __slots__ = (
         "busy",
         "closing",
+        "from_instance",
         "max_header_bytes",
         "parser",
         "req",
@@ -47,9 +49,10 @@
         "task",
     )
 
-    def __init__(self, stream, parser):
+    def __init__(self, stream, parser, from_instance):
         self.stream = stream
         self.parser = parser
+        self.from_instance = from_instance
         self.max_header_bytes = None
         self.task = None
         self.busy = False
@@ -57,14 +60,16 @@
         self.req = None
 
 
-def accept_caller(front, stream):
+def accept_caller(front, stream, from_instance=False):
     """Starts the task of a new connection.
 
     Args:
         front: Front.
         stream: ByteStream that was accepted.
+        from_instance: Whether another instance hands requests on over it.
     """
-    conn = CallerConnection(stream, h11.Connection(h11.SERVER))
+    parser = h11.Connection(h11.SERVER)
+    conn = CallerConnection(stream, parser, from_instance)
     front.connections.add(conn)
     conn.task = asyncio.get_running_loop().create_task(_serve(front, conn))
 
@@ -181,6 +186,7 @@
         elapsed_ms=round(elapsed_s * 1000.0, 1),
         sends=[_encode_send(send) for send in trace.sends],
         withheld=trace.withheld,
+        handed_to=trace.handed_to,
         detail=detail,
     )
 
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -12,11 +12,12 @@
     loads,
     routetable,
     serverlimits,
+    serverpaths,
     windowbudget,
 )
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import limitgrants
+from flamingolift_front import handover, limitgrants
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.requesttrace import SendRecord
 from flamingolift_front.sending import (
@@ -77,16 +78,49 @@
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(_retryable_fault(front, ResultCode.DRAINING, detail))
-    windowbudget.record_request(retry_budget_for(front, trace.service), now)
+    if not serverpaths.is_cut_off(front.paths, trace.service):
+        windowbudget.record_request(retry_budget_for(front, trace.service), now)
+    if req.attempts_left is not None:
+        return await _serve_handed_on(front, req, route, trace, deadline)
+    return await _run_until(front, req, route, trace, deadline)
+
+
+async def _serve_handed_on(front, req, route, trace, deadline):
+    """Serves a request that another instance handed on; it goes no further."""
+    front.metrics.handed_on.labels("taken").inc()
+    if front.taken >= handover.MAX_TAKEN:
+        detail = "too many requests of other instances"
+        return Error(_retryable_fault(front, ResultCode.OVERLOADED, detail))
+    trace.attempts = max(0, route.max_attempts - req.attempts_left)
+    front.taken += 1
+    try:
+        return await _run_until(front, req, route, trace, deadline)
+    finally:
+        front.taken -= 1
+
+
+async def _run_until(front, req, route, trace, deadline):
+    """Serves a request, here or on another instance, until its deadline."""
+    now = time.monotonic()
     trace.shed = admission.should_shed(front.view.backends, trace.service, now)
     try:
         async with asyncio.timeout(deadline + DEADLINE_GRACE_S - time.monotonic()):
-            return await _run_attempts(front, req, route, trace, deadline)
+            result = await _run_attempts(front, req, route, trace, deadline)
+            if result.is_ok():
+                return result
+            code = result.error.code
+            if not handover.may_hand_on(front, req, route, trace, code, deadline):
+                return result
+            handed_on = await handover.hand_on(front, req, route, trace, deadline)
+            return handed_on.default_value(result)
     except TimeoutError:
         return Error(_timeout_fault(front, trace))
 
 
 def _timeout_fault(front, trace):
+    if trace.handed_to:
+        detail = f"{trace.handed_to} did not answer before the deadline"
+        return Fault(ResultCode.BACKEND_TIMEOUT, detail)
     if all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends):
         detail = "no server ran the request before the deadline"
         return _retryable_fault(front, ResultCode.DEADLINE_BEFORE_RUN, detail)
@@ -110,7 +144,7 @@
 async def _run_attempts(front, req, route, trace, deadline):
     """Runs attempts until one is final; returns a Result as `forward` does."""
     last = None
-    while _has_tries_left(route, trace):
+    while _has_tries_left(front, route, trace):
         now = time.monotonic()
         if trace.sends and not _may_retry(front, trace, deadline, now):
             break
@@ -151,7 +185,9 @@
     return backend in warm or backend in cold
 
 
-def _has_tries_left(route, trace):
+def _has_tries_left(front, route, trace):
+    if serverpaths.is_cut_off(front.paths, trace.service):
+        return False
     if trace.shed and len(trace.withheld) >= MAX_WITHHELD:
         return False
     return (
@@ -211,7 +247,13 @@
     """Returns the Fault of a request for which there is no response."""
     if any(send.outcome in UNKNOWN_OUTCOMES for send in trace.sends):
         return Fault(ResultCode.BACKEND_FAILED, "no server sent a complete response")
+    if serverpaths.is_cut_off(front.paths, trace.service):
+        detail = f"no server of {trace.service} is reached from this instance"
+        return _retryable_fault(front, ResultCode.CUT_OFF, detail)
     view, now = front.view.backends, time.monotonic()
+    if trace.unreached >= MAX_CONNECT_FAILURES:
+        detail = "no server accepted a connection"
+        return _retryable_fault(front, ResultCode.NO_BACKEND, detail)
     if trace.shed:
         return _overload_fault(front, trace, "load shedding", now)
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -29,6 +29,8 @@
             object's preferred one.
         limit_grants: Counter of the grants asked for by result: granted, refused, or
             unreachable when no grantor responded.
+        handed_on: Counter of requests that were to be handed on to other instances, by
+            result: answered, unreached, lost, or no_helper; and taken from others.
         store_calls: Counter of calls on the store by kind and result.
         peer_bytes: Counter of the bytes of view updates by direction: sent or received.
         loop_delay: Histogram of the delay of a timer of the event loop (s).
@@ -39,6 +41,7 @@
     __slots__ = (
         "first_sends",
         "gauges",
+        "handed_on",
         "latency",
         "limit_grants",
         "log_dropped",
@@ -96,6 +99,12 @@
             ("result",),
             registry=registry,
         )
+        self.handed_on = Counter(
+            "flamingolift_handed_on",
+            "Requests handed on to other instances, or taken from them",
+            ("result",),
+            registry=registry,
+        )
         self.store_calls = Counter(
             "flamingolift_store_calls",
             "Calls on the platform's store",
--- /dev/null
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -0,0 +1,184 @@
+"""Hands a request on to another instance that reaches the backend servers.
+
+The instance that receives it serves it itself or refuses it. Only after a refusal that
+says so, or a failed connect, is the request handed on to a further instance.
+"""
+
+import time
+
+from expression import Error, Nothing, Ok, Option, Some
+from flamingolift_decisions import serverpaths, windowbudget
+from flamingolift_model import Fault, ResultCode
+
+from flamingolift_front import bytestream, helperlist, httpcall, peerlink, serverpool
+from flamingolift_front.eventlog import log_event
+from flamingolift_front.httpcall import header
+from flamingolift_front.sending import (
+    HANDED_ON,
+    NOT_RUN_OUTCOMES,
+    ForwardedResponse,
+    start_call,
+)
+from flamingolift_front.state import retry_budget_for
+
+__all__ = ["MAX_TAKEN", "hand_on", "may_hand_on"]
+
+MAX_TAKEN = 128
+"""Requests of other instances that an instance runs at the same time."""
+MAX_HELPERS = 3
+"""Instances that are tried for a request."""
+CONNECT_TIMEOUT_S = 0.3
+"""Longest time for a connection to an instance (s)."""
+RETURN_MARGIN_S = 0.08
+"""Part of the remaining time that is kept for the way back (s)."""
+MIN_TIME_S = 0.15
+"""Remaining time below which a request is not handed on (s)."""
+_DECLINED = frozenset(
+    str(code.value)
+    for code in (
+        ResultCode.CUT_OFF,
+        ResultCode.NO_BACKEND,
+        ResultCode.DRAINING,
+        ResultCode.NOT_READY,
+    )
+)
+"""Result codes of an instance that cannot serve a request which others may serve."""
+
+
+def may_hand_on(front, req, route, trace, code, deadline):
+    """Returns whether a request that would end refused may be handed on.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        route: Route of the request.
+        trace: Trace with the sends so far.
+        code: ResultCode with which the request would end.
+        deadline: Earlier of the caller's deadline and the route's timeout (s,
+            monotonic).
+    """
+    if req.attempts_left is not None or trace.attempts >= route.max_attempts:
+        return False
+    now = time.monotonic()
+    if deadline - now < MIN_TIME_S:
+        return False
+    ran_nowhere = all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends)
+    if not route.idempotent and not ran_nowhere:
+        return False
+    budget = retry_budget_for(front, trace.service)
+    instances = front.view.backends.instances
+    if trace.attempts and not windowbudget.allow_retry(budget, instances, now):
+        return False
+    if serverpaths.is_cut_off(front.paths, trace.service):
+        return True
+    if code is not ResultCode.NO_BACKEND:
+        return False
+    known = front.view.backends.by_service.get(trace.service, ())
+    return trace.unreached > 0 or any(now < b.suspended_until for b in known)
+
+
+async def hand_on(front, req, route, trace, deadline) -> Option:
+    """Hands a request on to an instance that reaches its service.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        route: Route of the request.
+        trace: Trace; receives the instance.
+        deadline: Earlier of the caller's deadline and the route's timeout (s,
+            monotonic).
+
+    Returns:
+        Some with a Result as `forwarding.forward` returns it, or Nothing when the
+        request was not handed on, since no such instance is known or accepts a
+        connection.
+    """
+    await helperlist.wait_for_answers(front, deadline - MIN_TIME_S)
+    tried, declined = set(), Nothing
+    while len(tried) < MAX_HELPERS and deadline - time.monotonic() > MIN_TIME_S:
+        entry = helperlist.pick_helper(front, trace.service, route, tried)
+        if entry is None:
+            break
+        tried.add(entry.instance_id)
+        try:
+            stream = await _connect(front, route, entry)
+        except (OSError, TimeoutError) as exc:
+            _record_failure(front, req, entry, "unreached", exc)
+            continue
+        trace.handed_to = entry.instance_id
+        result = await _exchange(front, req, route, trace, entry, stream, deadline)
+        if not _is_declined(front, result):
+            return Some(result)
+        # Until it is sent again, the request has run nowhere.
+        trace.handed_to, declined = "", Some(result)
+        helperlist.forget_helper(front, entry.instance_id)
+    front.metrics.handed_on.labels("no_helper").inc()
+    return declined
+
+
+def _is_declined(front, result):
+    """Returns whether an instance says that it cannot serve a request.
+
+    A server's response, which names the request, is never taken for that.
+    """
+    if result.is_error():
+        return False
+    headers = result.ok.response.headers
+    if header(headers, front.header_names.request_id) is not None:
+        return False
+    return header(headers, "result-code") in _DECLINED
+
+
+async def _connect(front, route, entry):
+    """Returns a connection; a kept one only for a request that may run again."""
+    address = (entry.host, entry.handover_port)
+    if route.idempotent:
+        now = time.monotonic()
+        stream = serverpool.acquire_connection(
+            front.helper_pool, entry.instance_id, address, now
+        )
+        if stream is not None:
+            return stream
+    return await bytestream.connect(*address, CONNECT_TIMEOUT_S, keepalive=True)
+
+
+def _record_failure(front, req, entry, result, exc):
+    helperlist.forget_helper(front, entry.instance_id)
+    front.metrics.handed_on.labels(result).inc()
+    cause = str(exc) or type(exc).__name__
+    peer = entry.instance_id
+    log_event(front.log, "hand_on_failed", id=req.request_id, peer=peer, cause=cause)
+
+
+async def _exchange(front, req, route, trace, entry, stream, deadline):
+    """Sends the request and reads the response; returns a Result."""
+    attempts_left = str(route.max_attempts - trace.attempts).encode()
+    finished = False
+    try:
+        call = start_call(
+            front,
+            req,
+            stream,
+            deadline - RETURN_MARGIN_S,
+            (HANDED_ON, attempts_left),
+        )
+        response = await httpcall.read_response(call, peerlink.accept_any)
+        finished = True
+    except (ConnectionError, httpcall.InvalidResponseError) as exc:
+        _record_failure(front, req, entry, "lost", exc)
+        detail = f"the connection to {entry.instance_id} was lost"
+        code = ResultCode.OUTCOME_UNKNOWN
+        if route.idempotent:
+            code = ResultCode.BACKEND_FAILED
+        return Error(Fault(code, detail))
+    finally:
+        if not finished:
+            bytestream.abort(stream)
+    front.metrics.handed_on.labels("answered").inc()
+    if not response.complete:
+        return Ok(ForwardedResponse(response, call))
+    address, now = (entry.host, entry.handover_port), time.monotonic()
+    serverpool.return_connection(
+        front.helper_pool, entry.instance_id, address, call, response, now
+    )
+    return Ok(ForwardedResponse(response))
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -6,6 +6,7 @@
 from flamingolift_decisions.explanations import explain_routing
 from flamingolift_model import Fault, ResultCode
 
+from flamingolift_front.helperlist import serve_paths
 from flamingolift_front.limitgrants import serve_grant
 from flamingolift_front.peersync import serve_view
 from flamingolift_front.responses import json_response, problem_response
@@ -19,7 +20,8 @@
     Args:
         front: Front.
         target: Request target: `/view` for changes of the view, `/grant` for a
-            request to a server that names a limit, `/explain` with `host`, `path`
+            request to a server that names a limit, `/paths` for the services that
+            the instance cannot serve, `/explain` with `host`, `path`
             and `object` for an explanation of how a request is routed.
 
     Returns:
@@ -30,6 +32,8 @@
         return await serve_view(front, target)
     if split.path == "/grant":
         return await serve_grant(front, dict(urllib.parse.parse_qsl(split.query)))
+    if split.path == "/paths":
+        return await serve_paths(front)
     if split.path == "/explain":
         query = dict(urllib.parse.parse_qsl(split.query))
         return json_response(200, _explain(front, query))
--- a/packages/front/src/flamingolift_front/pathrecords.py
+++ b/packages/front/src/flamingolift_front/pathrecords.py
@@ -49,7 +49,7 @@
             for server_id, at in front.paths.unreached.get(service, {}).items()
         }
         serverpaths.lift_suspensions(view, failed)
-        front.cut_off.set()
+        front.helpers.wake.set()
         log_event(
             front.log,
             "servers_cut_off",
--- a/packages/front/src/flamingolift_front/pathwatch.py
+++ b/packages/front/src/flamingolift_front/pathwatch.py
@@ -1,12 +1,13 @@
-"""Watches for the return of paths to the backend servers while there is none."""
+"""Watches for the return of lost paths to the backend servers, and asks for helpers."""
 
 import asyncio
 import contextlib
+import math
 import time
 
 from flamingolift_decisions import backends, serverpaths
 
-from flamingolift_front import bytestream
+from flamingolift_front import bytestream, helperlist
 from flamingolift_front.pathrecords import note_reached
 
 __all__ = ["watch_paths"]
@@ -17,6 +18,8 @@
 """Longest time for such a connect (s)."""
 MIN_PAUSE_S = 0.05
 """Shortest pause between such connects (s)."""
+ASK_INTERVAL_S = 1.0
+"""Mean interval between rounds of questions to other instances (s)."""
 MAX_PROBED_SERVICES = 4
 """Services that are tried at the same time."""
 
@@ -24,20 +27,34 @@
 async def watch_paths(front):
     """Tries a server of each service that is cut off until one is reached.
 
+    Meanwhile it also asks other instances which services they serve.
+
     Args:
         front: Front.
     """
     while True:
-        await front.cut_off.wait()
-        front.cut_off.clear()
-        while services := serverpaths.cut_off_services(front.paths):
-            started = time.monotonic()
-            count = min(len(services), MAX_PROBED_SERVICES)
-            probed = front.rng.sample(services, count)
-            await asyncio.gather(*(_probe(front, service) for service in probed))
-            pause_s = PROBE_INTERVAL_S * front.rng.uniform(0.8, 1.2)
-            elapsed_s = time.monotonic() - started
-            await asyncio.sleep(max(MIN_PAUSE_S, pause_s - elapsed_s))
+        await front.helpers.wake.wait()
+        front.helpers.wake.clear()
+        try:
+            await _watch_while_wanted(front)
+        finally:
+            helperlist.forget_all(front)
+
+
+async def _watch_while_wanted(front):
+    asked_at = -math.inf
+    while helperlist.is_wanted(front):
+        started = time.monotonic()
+        services = serverpaths.cut_off_services(front.paths)
+        count = min(len(services), MAX_PROBED_SERVICES)
+        steps = [_probe(front, name) for name in front.rng.sample(services, count)]
+        if started >= asked_at + ASK_INTERVAL_S * front.rng.uniform(0.8, 1.2):
+            asked_at = started
+            steps.append(helperlist.ask_peers(front))
+        await asyncio.gather(*steps)
+        pause_s = PROBE_INTERVAL_S * front.rng.uniform(0.8, 1.2)
+        elapsed_s = time.monotonic() - started
+        await asyncio.sleep(max(MIN_PAUSE_S, pause_s - elapsed_s))
 
 
 async def _probe(front, service):
--- a/packages/front/src/flamingolift_front/registration.py
+++ b/packages/front/src/flamingolift_front/registration.py
@@ -42,6 +42,7 @@
         peer_port=cfg.peer_port,
         operator_port=cfg.ready_port,
         link_mbps=cfg.link_mbps,
+        handover_port=cfg.handover_port,
         started_ms=front.incarnation,
     )
 
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -9,7 +9,7 @@
 
 from flamingolift_front import bytestream, httpcall
 from flamingolift_front.httpcall import header
-from flamingolift_front.sending import CallerRequest
+from flamingolift_front.sending import HANDED_ON, CallerRequest
 
 __all__ = ["IDLE_MARGIN_S", "read_request"]
 
@@ -18,8 +18,11 @@
 that was sent before the timeout still finds the connection open."""
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a request without a valid deadline header field (s)."""
+HANDED_ON_BYTES = 256
+"""Size of the header fields that an instance adds to a request that it hands on."""
 _RESULT_CODES = {431: ResultCode.HEADER_TOO_LARGE, 413: ResultCode.TOO_LARGE}
 """Map of the status that h11 suggests for an invalid request to its result code."""
+_HANDED_ON = HANDED_ON.decode().lower()
 
 
 def _current_limits(front):
@@ -58,7 +61,7 @@
     if head is None:
         return Ok(None)
     received_at = time.monotonic()
-    if _head_size(head) > limits.max_header_bytes:
+    if _head_size(head) > _max_head_bytes(conn, limits):
         return Error(
             Fault(
                 ResultCode.HEADER_TOO_LARGE, "the request head exceeds max_header_bytes"
@@ -76,7 +79,7 @@
         return Error(
             Fault(ResultCode.TOO_LARGE, "the request body exceeds max_body_bytes")
         )
-    return _build_request(front, head, body, received_at)
+    return _build_request(front, conn, head, body, received_at)
 
 
 def _idle_time(limits):
@@ -98,17 +101,21 @@
 
 def _apply_header_limit(conn, limits):
     """Replaces the parser of an idle connection when the limit of its heads changed."""
-    if conn.max_header_bytes == limits.max_header_bytes:
+    max_bytes = _max_head_bytes(conn, limits)
+    if conn.max_header_bytes == max_bytes:
         return
     received, _ended = conn.parser.trailing_data
-    conn.max_header_bytes = limits.max_header_bytes
-    conn.parser = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-    )
+    conn.max_header_bytes = max_bytes
+    conn.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
     if received:
         conn.parser.receive_data(received)
 
 
+def _max_head_bytes(conn, limits):
+    allowance = HANDED_ON_BYTES if conn.from_instance else 0
+    return limits.max_header_bytes + allowance
+
+
 async def _read_head(conn, limits):
     """Returns the h11 request, or None when the caller closed an idle connection."""
     ends_at = time.monotonic() + limits.header_timeout_ms / 1000.0
@@ -150,9 +157,14 @@
             conn.parser.receive_data(data)
 
 
-def _build_request(front, head, body, received_at) -> Result:
+def _build_request(front, conn, head, body, received_at) -> Result:
     headers = list(head.headers.raw_items())
     names = front.header_names
+    attempts_left = None
+    if conn.from_instance:
+        attempts_left = httpcall.parse_count(header(headers, _HANDED_ON, ""))
+        if attempts_left is None:
+            return Error(Fault(ResultCode.BAD_REQUEST, f"{_HANDED_ON} is missing"))
     request_id = header(headers, names.request_id)
     if not request_id:
         return Error(Fault(ResultCode.BAD_REQUEST, f"{names.request_id} is missing"))
@@ -169,6 +181,7 @@
             _cookie(headers, names.object_cookie),
             received_at,
             received_at + remaining_s,
+            attempts_left,
         )
     )
 
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -13,17 +13,19 @@
         rank: Rank of the server in the rendezvous order of the object.
         load: Estimated requests on the server before the send (count).
         sent: Whether a connection was made and bytes of the request written to it.
+        reused: Whether it was sent on a connection that had been idle.
         outcome: Outcome.
         elapsed_ms: Time that the send took (ms).
     """
 
-    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "sent", "server_id")
+    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "reused", "sent", "server_id")
 
     def __init__(self, server_id, rank, load):
         self.server_id = server_id
         self.rank = rank
         self.load = load
         self.sent = False
+        self.reused = False
         self.outcome = Outcome.CANCELLED
         self.elapsed_ms = 0.0
 
@@ -40,12 +42,15 @@
         tried: Set of the server ids that were tried.
         shed: Whether load shedding keeps it away from servers that name no limit.
         unreached: Number of servers that did not accept a connection.
+        handed_to: Id of the instance that the request was handed on to; empty for
+            none.
         withheld: List of (server id, instance that refused the grant, time until the
             next one (s)) for servers whose limit was reached.
     """
 
     __slots__ = (
         "attempts",
+        "handed_to",
         "policy",
         "route",
         "sends",
@@ -65,4 +70,5 @@
         self.tried = set()
         self.shed = False
         self.unreached = 0
+        self.handed_to = ""
         self.withheld = []
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -92,11 +92,14 @@
         if port:
             opener = _control_opener(front, handler)
             listeners.append(await _open_listener(cfg, port, opener))
+    if cfg.handover_port:
+        opener = _caller_opener(front, from_instance=True)
+        listeners.append(await _open_listener(cfg, cfg.handover_port, opener))
     return listeners
 
 
-def _caller_opener(front):
-    return lambda stream: callers.accept_caller(front, stream)
+def _caller_opener(front, from_instance=False):
+    return lambda stream: callers.accept_caller(front, stream, from_instance)
 
 
 def _control_opener(front, handler):
@@ -115,7 +118,8 @@
 async def _close_idle_connections(front):
     while True:
         await asyncio.sleep(POOL_SWEEP_INTERVAL_S)
-        serverpool.close_expired(front.pool, time.monotonic())
+        for pool in (front.pool, front.helper_pool):
+            serverpool.close_expired(pool, time.monotonic())
         limitgrants.close_ended_links(front)
 
 
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -12,17 +12,22 @@
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
+    "HANDED_ON",
     "NOT_RUN_OUTCOMES",
     "UNKNOWN_OUTCOMES",
     "CallerRequest",
     "ForwardedResponse",
     "Outcome",
     "send_request",
+    "start_call",
 ]
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time for a connection to a backend server (s): several round trips
 between regions, and less than the usual first retransmission after 1 s."""
+HANDED_ON = b"Flamingolift-Handed-On"
+"""Header field of a request that another instance handed on: the number of servers
+to which it may still be sent."""
 
 
 class Outcome(enum.StrEnum):
@@ -70,9 +75,12 @@
         object_key: Key of the requested object; empty when the request has none.
         received_at: Time at which the request's head arrived (s, monotonic).
         deadline_at: Time at which the caller stops waiting (s, monotonic).
+        attempts_left: Number of servers to which a request that another instance
+            handed on may still be sent; None for a caller's own request.
     """
 
     __slots__ = (
+        "attempts_left",
         "body",
         "deadline_at",
         "headers",
@@ -95,6 +103,7 @@
         object_key,
         received_at,
         deadline_at,
+        attempts_left=None,
     ):
         self.request_id = request_id
         self.method = method
@@ -105,6 +114,7 @@
         self.object_key = object_key
         self.received_at = received_at
         self.deadline_at = deadline_at
+        self.attempts_left = attempts_left
 
 
 class ForwardedResponse:
@@ -114,7 +124,8 @@
         response: HttpResponse.
         call: HttpCall from which the rest of the body is read; None when `response`
             is complete.
-        backend: Backend that sends the rest of the body; None like `call`.
+        backend: Backend that sends the rest of the body; None like `call`, and when
+            another instance sends it.
     """
 
     __slots__ = ("backend", "call", "response")
@@ -159,9 +170,11 @@
         note_reached(front, entry.service)
         is_reused = False
     finished = False
-    send.sent = True
+    send.sent, send.reused = True, is_reused
     try:
-        call = _start_call(front, req, stream, entry, deadline)
+        expected = _title_case(front.header_names.expected_server)
+        field = (expected, entry.server_id.encode())
+        call = start_call(front, req, stream, deadline, field)
         matches = _response_matcher(front, req, is_reused)
         response = await httpcall.read_response(call, matches)
         finished = True
@@ -216,7 +229,22 @@
     return matches
 
 
-def _start_call(front, req, stream, entry, deadline):
+def start_call(front, req, stream, deadline, field):
+    """Sends a request, with the time that is left.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        stream: ByteStream of an idle connection.
+        deadline: Time at which the answer is no longer useful (s, monotonic).
+        field: Header field (name, value), both bytes, that concerns this send only.
+
+    Returns:
+        HttpCall.
+
+    Raises:
+        InvalidResponseError: The request cannot be sent.
+    """
     names = front.header_names
     remaining_ms = max(1, int((deadline - time.monotonic()) * 1000.0))
     replaced = (
@@ -224,12 +252,13 @@
         b"expect",
         names.deadline_ms.encode(),
         names.expected_server.encode(),
+        HANDED_ON.lower(),
     )
     headers = httpcall.strip_hop_headers(req.headers, replaced)
     if req.body or header(req.headers, "content-length") is not None:
         headers.append((b"Content-Length", str(len(req.body)).encode()))
     headers.append((_title_case(names.deadline_ms), str(remaining_ms).encode()))
-    headers.append((_title_case(names.expected_server), entry.server_id.encode()))
+    headers.append(field)
     try:
         return httpcall.open_call(stream, req.method, req.target, headers, req.body)
     except h11.LocalProtocolError as exc:
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -2,7 +2,7 @@
 
 import time
 
-from flamingolift_decisions import attempttimeout, backends, loads, serverpaths
+from flamingolift_decisions import attempttimeout, backends, loads
 
 from flamingolift_front import httpcall, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
@@ -13,6 +13,9 @@
 
 __all__ = ["record_send_result", "record_stream_end"]
 
+_UNREACHED = frozenset((Outcome.UNREACHED, Outcome.SILENT))
+_NO_ANSWER = frozenset((Outcome.LATE, Outcome.OVERDUE))
+
 
 def record_send_result(front, trace, backend, send, forwarded, started):
     """Records the end of a send.
@@ -40,12 +43,12 @@
         )
     front.metrics.sends.labels(trace.service, send.outcome.value).inc()
     if send.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-        _record_outcome(front, backend, send.outcome, forwarded)
+        _record_outcome(front, backend, send, forwarded)
 
 
-def _record_outcome(front, backend, outcome, forwarded):
+def _record_outcome(front, backend, send, forwarded):
     """Updates the server's load, or suspends it after failures."""
-    now = time.monotonic()
+    outcome, now = send.outcome, time.monotonic()
     if forwarded is not None:
         note_reached(front, backend.entry.service)
     if outcome in (Outcome.ANSWERED, Outcome.NOT_RUN):
@@ -56,7 +59,10 @@
         named = header(headers, front.header_names.limit)
         limitgrants.observe_answer(front, backend, named, now)
         return
-    _record_failure(front, backend, outcome, now)
+    # A connection that was idle may have lost its path since, without a sign of it.
+    silent = outcome in _UNREACHED or (outcome in _NO_ANSWER and send.reused)
+    is_cut_off = silent and note_unreached(front, backend, now)
+    _record_failure(front, backend, outcome, now, is_cut_off)
 
 
 def record_stream_end(front, backend, outcome):
@@ -64,10 +70,12 @@
 
     Args:
         front: Front.
-        backend: Backend that sent it.
+        backend: Backend that sent it; None when another instance did.
         outcome: ANSWERED after the whole body, LOST when the server broke it off,
             LATE at the deadline, or CANCELLED when the caller did not take it.
     """
+    if backend is None:
+        return
     backend.in_flight -= 1
     if outcome is Outcome.ANSWERED:
         backends.record_answer(backend)
@@ -75,16 +83,18 @@
         _record_failure(front, backend, outcome, time.monotonic())
 
 
-def _record_failure(front, backend, outcome, now):
+def _record_failure(front, backend, outcome, now, is_cut_off=False):
     """Suspends a server after too many failures, unless the instance is cut off.
 
     Connections that are open may live on while new ones are refused; a server that
     failed resets them itself.
     """
     server_id = backend.entry.server_id
-    suspension_s = _suspension(front, backend, outcome, now)
-    stays_open = outcome in (Outcome.LATE, Outcome.OVERDUE, Outcome.UNREACHED)
-    if not stays_open or (suspension_s and outcome is not Outcome.UNREACHED):
+    suspension_s = 0.0
+    if not is_cut_off:
+        suspension_s = _suspend(front, backend, outcome, now)
+    stays_open = outcome in _NO_ANSWER and not suspension_s
+    if not stays_open and outcome is not Outcome.UNREACHED:
         serverpool.close_connections(front.pool, server_id)
     log_event(
         front.log,
@@ -95,18 +105,12 @@
     )
 
 
-def _suspension(front, backend, outcome, now):
+def _suspend(front, backend, outcome, now):
     """Returns the time for which a server is suspended for a failure (s)."""
     view = front.view.backends
-    if outcome in (Outcome.UNREACHED, Outcome.SILENT):
-        if note_unreached(front, backend, now):
-            return 0.0
-        return backends.suspend_backend(view, backend, now)
     if outcome is Outcome.LOST:
         return backends.record_lost_answer(view, backend, now)
-    if outcome in (Outcome.LATE, Outcome.OVERDUE):
-        if serverpaths.is_cut_off(front.paths, backend.entry.service):
-            return 0.0
+    if outcome in _NO_ANSWER:
         return backends.record_timeout(view, backend, now)
     return backends.suspend_backend(view, backend, now)
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -13,6 +13,7 @@
 from flamingolift_decisions.serverpaths import ServerPaths
 from flamingolift_decisions.windowbudget import WindowBudget
 
+from flamingolift_front.helperlist import Helpers
 from flamingolift_front.serverpool import ServerPool
 
 __all__ = [
@@ -215,7 +216,9 @@
         affinity_cache: AffinityCache.
         response_times: Map of route name to AnswerTimes.
         paths: ServerPaths.
-        cut_off: Event that is set when services are newly found to be cut off.
+        helpers: Helpers.
+        helper_pool: ServerPool of the connections to instances that take requests.
+        taken: Number of requests of other instances that are in progress.
         retry_budgets: Map of service name to WindowBudget.
         connections: Set of the callers' CallerConnection that are open.
         links: Map of (host, port) to the PeerLink to a relay.
@@ -235,11 +238,12 @@
         "affinity_cache",
         "cfg",
         "connections",
-        "cut_off",
         "exit_at",
         "failed_grantors",
         "grant_links",
         "header_names",
+        "helper_pool",
+        "helpers",
         "incarnation",
         "links",
         "log",
@@ -252,6 +256,7 @@
         "started_at",
         "stopping",
         "store",
+        "taken",
         "tasks",
         "view",
     )
@@ -265,7 +270,9 @@
         self.view = View()
         self.pool = ServerPool()
         self.paths = ServerPaths()
-        self.cut_off = asyncio.Event()
+        self.helpers = Helpers()
+        self.helper_pool = ServerPool()
+        self.taken = 0
         self.affinity_cache = AffinityCache()
         self.response_times = {}
         self.retry_budgets = {}
--- a/packages/model/src/flamingolift_model/codes.py
+++ b/packages/model/src/flamingolift_model/codes.py
@@ -30,6 +30,7 @@
     BOOKING_NOT_RUN = 2007
     BOOKING_TABLE_FULL = 2008
     DEADLINE_BEFORE_RUN = 2009
+    CUT_OFF = 2010
     OUTCOME_UNKNOWN = 3001
     KEY_EXPIRED = 3002
     BACKEND_FAILED = 3003
@@ -137,6 +138,12 @@
         "no",
         "The deadline passed before the request was sent to a backend server.",
     ),
+    ResultCode.CUT_OFF: ResultCodeInfo(
+        503,
+        30,
+        "no",
+        "This instance is cut off from the backend servers of the service.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: ResultCodeInfo(
         504,
         31,
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -127,6 +127,11 @@
         "service",
         "cut_off_s",
     ),
+    "hand_on_failed": (
+        "id",
+        "peer",
+        "cause",
+    ),
     "server_limit_changed": (
         "server",
         "change",
@@ -174,6 +179,7 @@
         "elapsed_ms",
         "sends",
         "withheld",
+        "handed_to",
         "detail",
     ),
 }
--- a/packages/model/src/flamingolift_model/frontsettings.py
+++ b/packages/model/src/flamingolift_model/frontsettings.py
@@ -24,6 +24,7 @@
         lookup_port: TCP port for look-ups.
         peer_port: TCP port for other instances and the operator's command line.
         metrics_port: TCP port for metrics; 0 serves none.
+        handover_port: TCP port for requests that other instances hand on; 0 takes none.
         peer_seeds: Peers to ask while no other instance is known, as host:port.
         domain_regions: Failure domain to its region.
         link_mbps: Bandwidth of the instance's link (Mbit/s); 0 when unknown.
@@ -39,6 +40,7 @@
         "domain_regions",
         "failure_domain",
         "grace_s",
+        "handover_port",
         "host",
         "instance_id",
         "link_mbps",
@@ -63,6 +65,7 @@
         Field("lookup_port", "int", min=1, max=65535),
         Field("peer_port", "int", min=1, max=65535),
         Field("metrics_port", "int", default=0, min=0, max=65535),
+        Field("handover_port", "int", default=0, min=0, max=65535),
         Field("peer_seeds", "list[str]", default=[], max=64),
         Field("domain_regions", "map[str]", max=1024),
         Field("link_mbps", "float", default=0.0, min=0.0),
@@ -86,6 +89,7 @@
         peer_port,
         domain_regions,
         metrics_port=0,
+        handover_port=0,
         peer_seeds=None,
         link_mbps=0.0,
         grace_s=6.0,
@@ -104,6 +108,7 @@
         self.lookup_port = lookup_port
         self.peer_port = peer_port
         self.metrics_port = metrics_port
+        self.handover_port = handover_port
         self.peer_seeds = [] if peer_seeds is None else peer_seeds
         self.domain_regions = domain_regions
         self.link_mbps = link_mbps
--- a/packages/model/src/flamingolift_model/plan.py
+++ b/packages/model/src/flamingolift_model/plan.py
@@ -182,12 +182,14 @@
         operator_port: TCP port for operators.
         state: Platform's view of the instance.
         link_mbps: Bandwidth of the instance's link (Mbit/s); 0 when unknown.
+        handover_port: TCP port for requests that other instances hand on; 0 takes none.
         started_ms: Start of the instance's incarnation (ms since the epoch); 0 means not reported.
     """
 
     __slots__ = (
         "caller_port",
         "failure_domain",
+        "handover_port",
         "host",
         "instance_id",
         "link_mbps",
@@ -209,6 +211,7 @@
         Field("operator_port", "int", min=1, max=65535),
         Field("state", "str", default="live", enum=("live", "leaving")),
         Field("link_mbps", "float", default=0.0, min=0.0),
+        Field("handover_port", "int", default=0, min=0, max=65535),
         Field("started_ms", "int", default=0, min=0),
     )
 
@@ -225,6 +228,7 @@
         site="",
         state="live",
         link_mbps=0.0,
+        handover_port=0,
         started_ms=0,
     ):
         super().__init__()
@@ -238,6 +242,7 @@
         self.operator_port = operator_port
         self.state = state
         self.link_mbps = link_mbps
+        self.handover_port = handover_port
         self.started_ms = started_ms
 
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -25,6 +25,7 @@
     "frontsettings",
     "viewupdate",
     "grants",
+    "paths",
 )
 
 MODULE_TEMPLATE = '''"""{{ doc }}
