Name an instance's own cut in the explanation of a route

An operator who asked why an instance served a route badly was told that all its servers were in use, as none is suspended for a cut of the instance's own paths. The explanation now says for how long no server of the service has been reached. The probes take the servers of a service in turn, so that one server that answers is found among several that are down. A test of a real process covers the listener, its port in the entry, and the mark that requests carry.

Evidence: without the sentence, test_explanation_names_the_cut failed with 'assert False = any(...)'.

--- a/integration/test_cut_off.py
+++ b/integration/test_cut_off.py
@@ -1,6 +1,7 @@
 """Requests that an instance without a path to the servers hands on to another one."""
 
 import asyncio
+import base64
 
 import pytest
 from cutsites import (
@@ -16,6 +17,9 @@
     wait_until,
 )
 from flamingolift_front import httpcall, serverpool
+from flamingolift_model.plan import InstanceEntry
+from flamingolift_wire.codec import decode_document
+from platformfleet import call, received_requests
 
 LARGE_BODY = bytes(range(256)) * (4 * httpcall.SPOOL_BYTES // 256)
 
@@ -170,6 +174,21 @@
         assert "flamingolift-handed-on" not in served(site)[0].headers
 
 
+async def test_process_takes_requests_that_are_handed_on(platform, front):
+    port = front.ports["handover"]
+    taken = await call(port, "GET", "/read/a", headers=["Flamingolift-Handed-On: 1"])
+    assert taken.status == 200
+    assert (
+        "flamingolift-handed-on"
+        not in received_requests(platform, "i-read-1")[0].headers
+    )
+    unmarked = await call(port, "GET", "/read/a")
+    assert unmarked.status == 400
+    item = platform.store.items["instances/front-1"]
+    entry = decode_document(InstanceEntry, base64.b64decode(item["value"])).ok
+    assert entry.handover_port == port
+
+
 async def test_deadline_is_carried(new_site):
     async with new_site(["upland"] * 2) as site:
         await cut_off(site, site.instances[0])
--- a/integration/test_cut_off_paths.py
+++ b/integration/test_cut_off_paths.py
@@ -1,11 +1,13 @@
 """Instances that are cut off from the servers, and their return."""
 
 import asyncio
+import json
 import time
 
 import pytest
 from cutsites import (
     HANG,
+    HOST,
     REFUSE,
     cut_paths,
     events,
@@ -15,6 +17,7 @@
     wait_until,
 )
 from flamingolift_front.frontmetrics import render_metrics
+from platformfleet import call
 
 
 @pytest.fixture
@@ -65,6 +68,17 @@
     assert list(instance.front.paths.cut_off_at) == ["reads"]
 
 
+async def test_explanation_names_the_cut(site):
+    instance = site.instances[0]
+    cut_paths(site, instance, REFUSE, "reads")
+    await send_many(instance, "/read/a")
+    port = instance.front.cfg.peer_port
+    target = f"/explain?host={HOST}&path=/read/a"
+    explained = await call(port, "GET", target, rid="")
+    sentences = json.loads(explained.body)["sentences"]
+    assert any("has reached no server of reads for" in s for s in sentences)
+
+
 async def test_server_that_fails_alone_is_suspended(site):
     instance = site.instances[0]
     cut_paths(site, instance, REFUSE, "reads-0")
--- a/packages/decisions/src/flamingolift_decisions/explanations.py
+++ b/packages/decisions/src/flamingolift_decisions/explanations.py
@@ -3,6 +3,7 @@
 from flamingolift_decisions.affinity import rank_backends
 from flamingolift_decisions.backends import eligible_backends, is_cold
 from flamingolift_decisions.routetable import match_route
+from flamingolift_decisions.serverpaths import is_cut_off
 
 __all__ = ["explain_routing"]
 
@@ -10,13 +11,14 @@
 """Largest number of an object's servers that an explanation names."""
 
 
-def explain_routing(table, view, cache, host, path, object_key, now):
+def explain_routing(table, view, cache, paths, host, path, object_key, now):
     """Explains how the policy and its exceptions route a request.
 
     Args:
         table: RouteTable in force, or None.
         view: BackendView.
         cache: AffinityCache.
+        paths: ServerPaths.
         host: Host of the request.
         path: Path of the request.
         object_key: Name of the object; empty for none.
@@ -43,6 +45,12 @@
         sentences.append(f"Exception: {evacuation.reason}.")
     for part in route.services:
         sentences += _explain_servers(view, cache, part.service, route, object_key, now)
+        if is_cut_off(paths, part.service):
+            cut_off_s = now - paths.cut_off_at[part.service]
+            sentences.append(
+                f"This instance has reached no server of {part.service} for"
+                f" {cut_off_s:.1f} s and hands requests on to other instances."
+            )
     return sentences
 
 
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -48,6 +48,7 @@
         view.table,
         view.backends,
         front.affinity_cache,
+        front.paths,
         query.get("host", ""),
         query.get("path", "/"),
         query.get("object", ""),
--- a/packages/front/src/flamingolift_front/pathwatch.py
+++ b/packages/front/src/flamingolift_front/pathwatch.py
@@ -42,12 +42,15 @@
 
 
 async def _watch_while_wanted(front):
-    asked_at = -math.inf
+    asked_at, probed = -math.inf, set()
     while helperlist.is_wanted(front):
         started = time.monotonic()
         services = serverpaths.cut_off_services(front.paths)
         count = min(len(services), MAX_PROBED_SERVICES)
-        steps = [_probe(front, name) for name in front.rng.sample(services, count)]
+        steps = [
+            _probe(front, service, probed)
+            for service in front.rng.sample(services, count)
+        ]
         if started >= asked_at + ASK_INTERVAL_S * front.rng.uniform(0.8, 1.2):
             asked_at = started
             steps.append(helperlist.ask_peers(front))
@@ -57,9 +60,9 @@
         await asyncio.sleep(max(MIN_PAUSE_S, pause_s - elapsed_s))
 
 
-async def _probe(front, service):
+async def _probe(front, service, probed):
     """Connects to a server of a service and closes the connection."""
-    backend = _pick_server(front, service)
+    backend = _pick_server(front, service, probed)
     if backend is None:
         # The service was removed, or all its servers are leaving.
         front.paths.cut_off_at.pop(service, None)
@@ -72,8 +75,14 @@
         note_reached(front, service)
 
 
-def _pick_server(front, service):
-    """Returns a random Backend of a service, a cold one last; None for none."""
+def _pick_server(front, service, probed):
+    """Returns a random Backend of a service, a cold one last; None for none.
+
+    Args:
+        front: Front.
+        service: Service name.
+        probed: Set of the ids of the servers tried in turn, which is updated.
+    """
     view, now = front.view.backends, time.monotonic()
     usable = [
         backend
@@ -83,4 +92,11 @@
     ]
     warm = [backend for backend in usable if not backends.is_cold(backend, now)]
     candidates = warm or usable
-    return front.rng.choice(candidates) if candidates else None
+    if not candidates:
+        return None
+    untried = [b for b in candidates if b.entry.server_id not in probed]
+    if not untried:
+        probed.difference_update(b.entry.server_id for b in candidates)
+    backend = front.rng.choice(untried or candidates)
+    probed.add(backend.entry.server_id)
+    return backend
