Find lost connects while open connections go on answering

While new connections were refused and open ones lived on, answers on the open ones reset the evidence of an own cut. So each server without an open connection was suspended, for up to 4 s, and taken as cold for 3 s more after the cut had healed, when its requests were refused as by a full service.

Connects are now recorded on their own beside all signs of a path. While only connects fail, no server is suspended for it, requests that may run again use servers to which a connection is open, and the others are handed on. The lines servers_cut_off and servers_regained tell which of the two it was.

--- a/integration/cutsites.py
+++ b/integration/cutsites.py
@@ -27,7 +27,7 @@
 REFUSE, HANG = "refuse", "hang"
 WAIT_S = 5.0
 """Longest wait for what has no bound of its own (s)."""
-SERVICES = {"reads": 3, "books": 3, "rows": 1}
+SERVICES = {"reads": 4, "books": 3, "rows": 1}
 """Number of servers of each service."""
 
 
--- a/integration/test_cut_off.py
+++ b/integration/test_cut_off.py
@@ -75,7 +75,7 @@
             await asyncio.gather(
                 *(send(first, "GET", f"/read/{n}", number=n) for n in range(12))
             )
-        assert len(first.front.pool.idle) == 3
+        assert len(first.front.pool.idle) == 4
         cut_paths(site, first, HANG)
         for proxy in first.paths.values():
             proxy.freeze_open_connections()
--- a/integration/test_cut_off_paths.py
+++ b/integration/test_cut_off_paths.py
@@ -16,6 +16,7 @@
     send,
     wait_until,
 )
+from flamingolift_front import serverpool
 from flamingolift_front.frontmetrics import render_metrics
 from platformfleet import call
 
@@ -68,6 +69,27 @@
     assert list(instance.front.paths.cut_off_at) == ["reads"]
 
 
+# Guards against servers that are suspended, and then take single requests as cold ones
+# do, because new connections are refused while open ones go on answering.
+async def test_answers_on_open_connections_hide_no_lost_connects(site):
+    instance = site.instances[0]
+    pool = instance.front.pool
+    await send_many(instance, "/read/a", 16)
+    for server_id in ("reads-1", "reads-2", "reads-3"):
+        serverpool.close_connections(pool, server_id)
+    cut_paths(site, instance, REFUSE, "reads")
+    for number in range(20):
+        status, _data = await send(instance, "GET", "/read/a", number=number)
+        assert status == 200
+    assert not suspended(instance)
+    found = events(instance, "servers_cut_off")[0]
+    assert (found["services"], found["cut"]) == (["reads"], "connects")
+    heal_paths(site, instance)
+    await wait_until(lambda: events(instance, "servers_regained"))
+    replies = await send_many(instance, "/read/a", 14)
+    assert {status for status, _data in replies} == {200}
+
+
 async def test_explanation_names_the_cut(site):
     instance = site.instances[0]
     cut_paths(site, instance, REFUSE, "reads")
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -17,8 +17,9 @@
 )
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import handover, limitgrants
+from flamingolift_front import handover, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.requesttrace import SendRecord
 from flamingolift_front.sending import (
     CONNECT_TIMEOUT_S,
@@ -148,7 +149,8 @@
         now = time.monotonic()
         if trace.sends and not _may_retry(front, trace, deadline, now):
             break
-        backend, rank = _pick(front, req, route, trace, now, _usable_servers(trace))
+        may_use = _usable_servers(front, route, trace)
+        backend, rank = _pick(front, req, route, trace, now, may_use)
         if backend is None:
             break
         if serverlimits.is_limited(backend):
@@ -195,8 +197,14 @@
     )
 
 
-def _usable_servers(trace):
+def _usable_servers(front, route, trace):
     """Returns the function of a Backend that tells whether a request may use it."""
+    if not may_connect(front, trace.service):
+        now = time.monotonic()
+        return lambda backend: (
+            route.idempotent
+            and serverpool.has_connection(front.pool, backend.entry.server_id, now)
+        )
     if trace.shed:
         return serverlimits.is_limited
     if len(trace.withheld) >= MAX_WITHHELD:
@@ -247,7 +255,7 @@
     """Returns the Fault of a request for which there is no response."""
     if any(send.outcome in UNKNOWN_OUTCOMES for send in trace.sends):
         return Fault(ResultCode.BACKEND_FAILED, "no server sent a complete response")
-    if serverpaths.is_cut_off(front.paths, trace.service):
+    if not may_connect(front, trace.service):
         detail = f"no server of {trace.service} is reached from this instance"
         return _retryable_fault(front, ResultCode.CUT_OFF, detail)
     view, now = front.view.backends, time.monotonic()
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -5,6 +5,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from flamingolift_front.pathrecords import lost_services
+
 __all__ = ["FrontMetrics", "render_metrics"]
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
@@ -155,7 +157,7 @@
     gauges["store_lost"].set(view.store_failed_at is not None)
     gauges["instances"].set(len(view.instances))
     gauges["backend_servers"].set(len(view.backends.backends))
-    gauges["cut_off_services"].set(len(front.paths.cut_off_at))
+    gauges["cut_off_services"].set(len(lost_services(front)))
     gauges["connections"].set(len(front.connections))
     gauges["resident_bytes"].set(_resident_bytes())
     front.metrics.log_dropped.set(sum(front.log.dropped.values()))
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -7,12 +7,13 @@
 import time
 
 from expression import Error, Nothing, Ok, Option, Some
-from flamingolift_decisions import serverpaths, windowbudget
+from flamingolift_decisions import windowbudget
 from flamingolift_model import Fault, ResultCode
 
 from flamingolift_front import bytestream, helperlist, httpcall, peerlink, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
+from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.sending import (
     HANDED_ON,
     NOT_RUN_OUTCOMES,
@@ -69,7 +70,7 @@
     instances = front.view.backends.instances
     if trace.attempts and not windowbudget.allow_retry(budget, instances, now):
         return False
-    if serverpaths.is_cut_off(front.paths, trace.service):
+    if not may_connect(front, trace.service):
         return True
     if code is not ResultCode.NO_BACKEND:
         return False
--- a/packages/front/src/flamingolift_front/helperlist.py
+++ b/packages/front/src/flamingolift_front/helperlist.py
@@ -6,11 +6,12 @@
 import time
 
 import msgpack
-from flamingolift_decisions import backends, serverpaths
+from flamingolift_decisions import backends
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
 from flamingolift_model.paths import PathsReply
 
 from flamingolift_front import httpcall, peerlink
+from flamingolift_front.pathrecords import lost_services
 from flamingolift_front.responses import binary_response, problem_response
 
 __all__ = [
@@ -81,8 +82,7 @@
 
 def is_wanted(front):
     """Returns whether helpers are needed now."""
-    is_cut_off = bool(front.paths.cut_off_at)
-    return is_cut_off or time.monotonic() < front.helpers.wanted_until
+    return bool(lost_services(front)) or time.monotonic() < front.helpers.wanted_until
 
 
 async def wait_for_answers(front, ends_at):
@@ -224,7 +224,7 @@
         helpers.links.pop(name, None)
         return
     unserved = frozenset(reply.ok.unserved)
-    missing = serverpaths.cut_off_services(front.paths)
+    missing = lost_services(front)
     if missing and unserved.issuperset(missing):
         helpers.answers.pop(name, None)
         peerlink.close_link(helpers.links.pop(name, link))
@@ -247,7 +247,7 @@
         detail = "the instance takes no requests"
         return problem_response(Fault(ResultCode.DRAINING, detail))
     view, now = front.view.backends, time.monotonic()
-    unserved = set(serverpaths.cut_off_services(front.paths))
+    unserved = set(lost_services(front))
     for service, known in view.by_service.items():
         if not any(backends.is_in_use(view, backend, now) for backend in known):
             unserved.add(service)
--- a/packages/front/src/flamingolift_front/pathrecords.py
+++ b/packages/front/src/flamingolift_front/pathrecords.py
@@ -1,4 +1,8 @@
-"""Records which backend servers are reached, and suspends none for an own cut."""
+"""Records which backend servers are reached, and suspends none for an own cut.
+
+Open connections may go on answering while new ones are refused. So the connects are
+recorded on their own, beside all signs of a path.
+"""
 
 import time
 
@@ -6,24 +10,62 @@
 
 from flamingolift_front.eventlog import log_event
 
-__all__ = ["note_reached", "note_unreached"]
+__all__ = [
+    "lost_services",
+    "may_connect",
+    "note_answered",
+    "note_connected",
+    "note_unreached",
+]
+
+
+def lost_services(front):
+    """Returns the names of the services to which no connect succeeds, sorted."""
+    return sorted({*front.paths.cut_off_at, *front.connects.cut_off_at})
 
 
-def note_reached(front, service):
-    """Records that a server accepted a connection or answered a request.
+def may_connect(front, service):
+    """Returns whether connects to a service's servers may succeed."""
+    return not (
+        serverpaths.is_cut_off(front.paths, service)
+        or serverpaths.is_cut_off(front.connects, service)
+    )
+
+
+def note_answered(front, service):
+    """Records that a server answered, perhaps on a connection that had been open.
 
     Args:
         front: Front.
         service: Service name.
     """
+    _record_reached(front, service, (front.paths,))
+
+
+def note_connected(front, service):
+    """Records that a server accepted a connection.
+
+    Args:
+        front: Front.
+        service: Service name.
+    """
+    _record_reached(front, service, (front.paths, front.connects))
+
+
+def _record_reached(front, service, records):
     now = time.monotonic()
-    ended = serverpaths.record_reached(front.paths, service, now)
-    for cut_off_at in ended.to_list():
-        cut_off_s = round(now - cut_off_at, 2)
-        log_event(front.log, "servers_regained", service=service, cut_off_s=cut_off_s)
+    for paths in records:
+        for cut_off_at in serverpaths.record_reached(paths, service, now).to_list():
+            log_event(
+                front.log,
+                "servers_regained",
+                service=service,
+                cut="all" if paths is front.paths else "connects",
+                cut_off_s=round(now - cut_off_at, 2),
+            )
 
 
-def note_unreached(front, backend, now):
+def note_unreached(front, backend, now, is_connect):
     """Records a failed connect to a server, or a connection that went silent.
 
     When services are newly found to be cut off, the suspensions that the same
@@ -33,20 +75,29 @@
         front: Front.
         backend: Backend.
         now: Current time (s, monotonic).
+        is_connect: Whether a connect failed.
 
     Returns:
         Whether the instance is cut off from the service of the server, so that the
         failure is not the server's.
     """
+    _record_unreached(front, backend, now, front.paths, "all")
+    if is_connect:
+        _record_unreached(front, backend, now, front.connects, "connects")
+        return not may_connect(front, backend.entry.service)
+    return serverpaths.is_cut_off(front.paths, backend.entry.service)
+
+
+def _record_unreached(front, backend, now, paths, cut):
     view, entry = front.view.backends, backend.entry
     found = serverpaths.record_unreached(
-        front.paths, entry.service, entry.server_id, list(view.by_service), now
+        paths, entry.service, entry.server_id, list(view.by_service), now
     )
     for services in found.to_list():
         failed = {
             server_id: at
             for service in services
-            for server_id, at in front.paths.unreached.get(service, {}).items()
+            for server_id, at in paths.unreached.get(service, {}).items()
         }
         serverpaths.lift_suspensions(view, failed)
         front.helpers.wake.set()
@@ -54,7 +105,7 @@
             front.log,
             "servers_cut_off",
             services=services,
+            cut=cut,
             servers=len(failed),
             age_s=round(now - min(failed.values()), 2),
         )
-    return serverpaths.is_cut_off(front.paths, entry.service)
--- a/packages/front/src/flamingolift_front/pathwatch.py
+++ b/packages/front/src/flamingolift_front/pathwatch.py
@@ -5,10 +5,10 @@
 import math
 import time
 
-from flamingolift_decisions import backends, serverpaths
+from flamingolift_decisions import backends
 
 from flamingolift_front import bytestream, helperlist
-from flamingolift_front.pathrecords import note_reached
+from flamingolift_front.pathrecords import lost_services, note_connected
 
 __all__ = ["watch_paths"]
 
@@ -45,7 +45,7 @@
     asked_at, probed = -math.inf, set()
     while helperlist.is_wanted(front):
         started = time.monotonic()
-        services = serverpaths.cut_off_services(front.paths)
+        services = lost_services(front)
         count = min(len(services), MAX_PROBED_SERVICES)
         steps = [
             _probe(front, service, probed)
@@ -65,14 +65,15 @@
     backend = _pick_server(front, service, probed)
     if backend is None:
         # The service was removed, or all its servers are leaving.
-        front.paths.cut_off_at.pop(service, None)
+        for paths in (front.paths, front.connects):
+            paths.cut_off_at.pop(service, None)
         return
     entry = backend.entry
     with contextlib.suppress(OSError, TimeoutError):
         stream = await bytestream.connect(entry.host, entry.port, PROBE_TIMEOUT_S)
         front.pool.opened += 1
         bytestream.close(stream)
-        note_reached(front, service)
+        note_connected(front, service)
 
 
 def _pick_server(front, service, probed):
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -8,7 +8,7 @@
 from flamingolift_front import bytestream, httpcall, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
-from flamingolift_front.pathrecords import note_reached
+from flamingolift_front.pathrecords import note_connected
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
@@ -167,7 +167,7 @@
         except (OSError, TimeoutError):
             return Outcome.UNREACHED, None
         front.pool.opened += 1
-        note_reached(front, entry.service)
+        note_connected(front, entry.service)
         is_reused = False
     finished = False
     send.sent, send.reused = True, is_reused
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -7,7 +7,7 @@
 from flamingolift_front import httpcall, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
-from flamingolift_front.pathrecords import note_reached, note_unreached
+from flamingolift_front.pathrecords import note_answered, note_unreached
 from flamingolift_front.sending import Outcome
 from flamingolift_front.state import response_times_for
 
@@ -50,7 +50,7 @@
     """Updates the server's load, or suspends it after failures."""
     outcome, now = send.outcome, time.monotonic()
     if forwarded is not None:
-        note_reached(front, backend.entry.service)
+        note_answered(front, backend.entry.service)
     if outcome in (Outcome.ANSWERED, Outcome.NOT_RUN):
         if forwarded.call is None:
             backends.record_answer(backend)
@@ -61,7 +61,8 @@
         return
     # A connection that was idle may have lost its path since, without a sign of it.
     silent = outcome in _UNREACHED or (outcome in _NO_ANSWER and send.reused)
-    is_cut_off = silent and note_unreached(front, backend, now)
+    is_connect = outcome is Outcome.UNREACHED
+    is_cut_off = silent and note_unreached(front, backend, now, is_connect)
     _record_failure(front, backend, outcome, now, is_cut_off)
 
 
--- a/packages/front/src/flamingolift_front/serverpool.py
+++ b/packages/front/src/flamingolift_front/serverpool.py
@@ -8,6 +8,7 @@
     "acquire_connection",
     "close_connections",
     "close_expired",
+    "has_connection",
     "return_connection",
 ]
 
@@ -85,6 +86,20 @@
     return None
 
 
+def has_connection(pool, server_id, now):
+    """Returns whether there is an idle connection to a server.
+
+    Args:
+        pool: ServerPool.
+        server_id: Id of the server.
+        now: Current time (s, monotonic).
+    """
+    return any(
+        now < conn.expires_at and not conn.stream.ended
+        for conn in pool.idle.get(server_id, ())
+    )
+
+
 def return_connection(pool, server_id, address, call, response, now):
     """Returns a connection to the pool, or closes it when it cannot be reused.
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -215,7 +215,8 @@
         pool: ServerPool.
         affinity_cache: AffinityCache.
         response_times: Map of route name to AnswerTimes.
-        paths: ServerPaths.
+        paths: ServerPaths of all signs of a path to a server.
+        connects: ServerPaths of connects alone.
         helpers: Helpers.
         helper_pool: ServerPool of the connections to instances that take requests.
         taken: Number of requests of other instances that are in progress.
@@ -238,6 +239,7 @@
         "affinity_cache",
         "cfg",
         "connections",
+        "connects",
         "exit_at",
         "failed_grantors",
         "grant_links",
@@ -270,6 +272,7 @@
         self.view = View()
         self.pool = ServerPool()
         self.paths = ServerPaths()
+        self.connects = ServerPaths()
         self.helpers = Helpers()
         self.helper_pool = ServerPool()
         self.taken = 0
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -120,11 +120,13 @@
     ),
     "servers_cut_off": (
         "services",
+        "cut",
         "servers",
         "age_s",
     ),
     "servers_regained": (
         "service",
+        "cut",
         "cut_off_s",
     ),
     "hand_on_failed": (
