Notice the return of many services within a second

After a cut, an instance with 40 services handed requests of some of them on for 3 s longer than needed: four services are tried at a time, with a pause of 0.3 s after each round. Once a round has reached a service, the next one now follows after 0.05 s, since the cut has probably ended for all of them.

Tests of the bound on requests taken and of an entry without the new port are added; both passed before.

--- a/integration/test_cut_off.py
+++ b/integration/test_cut_off.py
@@ -16,7 +16,7 @@
     served,
     wait_until,
 )
-from flamingolift_front import httpcall, serverpool
+from flamingolift_front import handover, httpcall, serverpool
 from flamingolift_model.plan import InstanceEntry
 from flamingolift_wire.codec import decode_document
 from platformfleet import call, received_requests
@@ -319,6 +319,33 @@
         assert len(served(site, "books")) == 6
 
 
+async def test_instance_bounds_the_requests_that_it_takes(new_site, monkeypatch):
+    async with new_site(["upland"] * 2) as site:
+        first, second = site.instances
+        await cut_off(site, first)
+        monkeypatch.setattr(handover, "MAX_TAKEN", 1)
+        for server in site.servers.values():
+            server.script = dict.fromkeys(range(1, 90), "silent")
+        _reader, writer = await open_request(first, "POST", "/book/a")
+        await wait_until(lambda: second.front.taken == 1)
+        status, data = await send(first, "POST", "/book/a", number=2)
+        writer.transport.abort()
+        assert status == 503
+        assert b"Request-Outcome: not-run" in data
+        await wait_until(lambda: second.front.taken == 0)
+
+
+async def test_instance_of_an_older_build_is_not_asked(new_site):
+    async with new_site(["upland"] * 2) as site:
+        first, second = site.instances
+        first.front.view.instances["front-1"].handover_port = 0
+        cut_paths(site, first, REFUSE)
+        status, data = await send(first, "GET", "/read/a")
+        assert status == 503
+        assert b"Request-Outcome: not-run" in data
+        assert count(second, "taken") == 0
+
+
 async def test_requests_go_the_direct_way_after_the_return(new_site):
     async with new_site(["upland"] * 2) as site:
         first, second = site.instances
--- a/integration/test_cut_off_paths.py
+++ b/integration/test_cut_off_paths.py
@@ -1,6 +1,7 @@
 """Instances that are cut off from the servers, and their return."""
 
 import asyncio
+import copy
 import json
 import time
 
@@ -16,6 +17,7 @@
     send,
     wait_until,
 )
+from flamingolift_decisions import backends
 from flamingolift_front import serverpool
 from flamingolift_front.frontmetrics import render_metrics
 from platformfleet import call
@@ -59,6 +61,26 @@
     assert not suspended(instance)
 
 
+# Guards against services that are found again one after the other, since only a few
+# of them are tried at the same time.
+async def test_return_of_many_services_is_noticed_at_once(site):
+    instance = site.instances[0]
+    names = [f"service-{number:02}" for number in range(40)]
+    view = instance.front.view.backends
+    for name in names:
+        entry = copy.copy(view.backends["rows-0"].entry)
+        entry.server_id = entry.service = name
+        backends.apply_entry(view, entry, 0.0)
+    cut_paths(site, instance, REFUSE)
+    await send_many(instance, "/read/a")
+    await send_many(instance, "/row/a")
+    assert set(names) <= set(instance.front.paths.cut_off_at)
+    heal_paths(site, instance)
+    await wait_until(lambda: not instance.front.paths.cut_off_at)
+    ends = [event["mono"] for event in events(instance, "servers_regained")]
+    assert max(ends) - min(ends) < 1.0
+
+
 async def test_one_service_is_cut_off_on_its_own(site):
     instance = site.instances[0]
     cut_paths(site, instance, REFUSE, "reads")
--- a/packages/front/src/flamingolift_front/pathwatch.py
+++ b/packages/front/src/flamingolift_front/pathwatch.py
@@ -56,6 +56,9 @@
             steps.append(helperlist.ask_peers(front))
         await asyncio.gather(*steps)
         pause_s = PROBE_INTERVAL_S * front.rng.uniform(0.8, 1.2)
+        if len(lost_services(front)) < len(services):
+            # The other services have probably returned too.
+            pause_s = MIN_PAUSE_S
         elapsed_s = time.monotonic() - started
         await asyncio.sleep(max(MIN_PAUSE_S, pause_s - elapsed_s))
 
