--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -12,14 +12,22 @@
     loads,
     routetable,
     serverlimits,
+    serverpaths,
     windowbudget,
 )
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import limitgrants
+from flamingolift_front import handover, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.requesttrace import SendRecord
-from flamingolift_front.sending import UNKNOWN_OUTCOMES, Outcome, send_request
+from flamingolift_front.sending import (
+    CONNECT_TIMEOUT_S,
+    NOT_RUN_OUTCOMES,
+    UNKNOWN_OUTCOMES,
+    Outcome,
+    send_request,
+)
 from flamingolift_front.sendresults import record_send_result
 from flamingolift_front.state import response_times_for, retry_budget_for
 from flamingolift_front.timelimit import time_limit
@@ -72,20 +80,52 @@
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(retryable_fault(front, ResultCode.DRAINING, detail))
-    windowbudget.record_request(retry_budget_for(front, trace.service), now)
+    if not serverpaths.is_cut_off(front.paths, trace.service):
+        windowbudget.record_request(retry_budget_for(front, trace.service), now)
+    if req.attempts_left is not None:
+        return await _serve_handed_on(front, req, route, trace, deadline)
+    return await _run_until(front, req, route, trace, deadline)
+
+
+async def _serve_handed_on(front, req, route, trace, deadline):
+    """Serves a request that another instance handed on; it goes no further."""
+    front.metrics.handed_on.labels("taken").inc()
+    if front.taken >= handover.MAX_TAKEN:
+        detail = "too many requests of other instances"
+        return Error(retryable_fault(front, ResultCode.OVERLOADED, detail))
+    trace.attempts = max(0, route.max_attempts - req.attempts_left)
+    front.taken += 1
+    try:
+        return await _run_until(front, req, route, trace, deadline)
+    finally:
+        front.taken -= 1
+
+
+async def _run_until(front, req, route, trace, deadline):
+    """Serves a request, here or on another instance, until its deadline."""
+    now = time.monotonic()
     trace.shed = admission.should_shed(front.view.backends, trace.service, now)
     try:
         async with time_limit(deadline + DEADLINE_GRACE_S):
-            return await _run_attempts(front, req, route, trace, deadline)
+            result = await _run_attempts(front, req, route, trace, deadline)
+            if result.is_ok():
+                return result
+            code = result.error.code
+            if not handover.may_hand_on(front, req, route, trace, code, deadline):
+                return result
+            handed_on = await handover.hand_on(front, req, route, trace, deadline)
+            return handed_on.default_value(result)
     except TimeoutError:
-        return Error(_timeout_fault(trace))
+        return Error(_timeout_fault(front, trace))
 
 
-def _timeout_fault(trace):
-    if not trace.sends:
-        return Fault(
-            ResultCode.DEADLINE_BEFORE_RUN, "no server was reached before the deadline"
-        )
+def _timeout_fault(front, trace):
+    if trace.handed_to:
+        detail = f"{trace.handed_to} did not answer before the deadline"
+        return Fault(ResultCode.BACKEND_TIMEOUT, detail)
+    if all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends):
+        detail = "no server ran the request before the deadline"
+        return retryable_fault(front, ResultCode.DEADLINE_BEFORE_RUN, detail)
     server_id = trace.sends[-1].server_id
     return Fault(
         ResultCode.BACKEND_TIMEOUT, f"{server_id} did not answer before the deadline"
@@ -113,11 +153,12 @@
 async def _run_attempts(front, req, route, trace, deadline):
     """Runs attempts until one is final; returns a Result as `forward` does."""
     last = None
-    while _has_tries_left(route, trace):
+    while _has_tries_left(front, route, trace):
         now = time.monotonic()
         if trace.sends and not _may_retry(front, trace, deadline, now):
             break
-        backend, rank = _pick(front, req, route, trace, now, _usable_servers(trace))
+        may_use = _usable_servers(front, route, trace)
+        backend, rank = _pick(front, req, route, trace, now, may_use)
         if backend is None:
             break
         if serverlimits.is_limited(backend):
@@ -154,7 +195,9 @@
     return backend in warm or backend in cold
 
 
-def _has_tries_left(route, trace):
+def _has_tries_left(front, route, trace):
+    if serverpaths.is_cut_off(front.paths, trace.service):
+        return False
     if trace.shed and len(trace.withheld) >= MAX_WITHHELD:
         return False
     return (
@@ -162,8 +205,14 @@
     )
 
 
-def _usable_servers(trace):
+def _usable_servers(front, route, trace):
     """Returns the function of a Backend that tells whether a request may use it."""
+    if not may_connect(front, trace.service):
+        now = time.monotonic()
+        return lambda backend: (
+            route.idempotent
+            and serverpool.has_connection(front.pool, backend.entry.server_id, now)
+        )
     if trace.shed:
         return serverlimits.is_limited
     if len(trace.withheld) >= MAX_WITHHELD:
@@ -214,7 +263,13 @@
     """Returns the Fault of a request for which there is no response."""
     if any(send.outcome in UNKNOWN_OUTCOMES for send in trace.sends):
         return Fault(ResultCode.BACKEND_FAILED, "no server sent a complete response")
+    if not may_connect(front, trace.service):
+        detail = f"no server of {trace.service} is reached from this instance"
+        return retryable_fault(front, ResultCode.CUT_OFF, detail)
     view, now = front.view.backends, time.monotonic()
+    if trace.unreached >= MAX_CONNECT_FAILURES:
+        detail = "no server accepted a connection"
+        return retryable_fault(front, ResultCode.NO_BACKEND, detail)
     if trace.shed:
         return _overload_fault(front, trace, "load shedding", now)
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
@@ -250,12 +305,12 @@
         front.metrics.first_sends.labels(trace.service, rank == 0).inc()
     try:
         send.outcome, forwarded = await _send_with_attempt_timeout(
-            front, req, route, trace, backend, deadline
+            front, req, route, trace, backend, deadline, send
         )
     except asyncio.CancelledError:
         # The caller disconnected, or the deadline passed without a response.
         if time.monotonic() >= deadline:
-            send.outcome = Outcome.LATE
+            send.outcome = _outcome_at_deadline(send, started)
         record_send_result(front, trace, backend, send, None, started)
         raise
     except Exception:
@@ -266,7 +321,16 @@
     return send.outcome, forwarded
 
 
-async def _send_with_attempt_timeout(front, req, route, trace, backend, deadline):
+def _outcome_at_deadline(send, started):
+    """Returns the outcome of a send that the deadline cut short."""
+    if send.sent:
+        return Outcome.LATE
+    # A connect that has just begun says nothing about the server.
+    waited_s = time.monotonic() - started
+    return Outcome.UNREACHED if waited_s >= CONNECT_TIMEOUT_S / 2 else Outcome.NOT_SENT
+
+
+async def _send_with_attempt_timeout(front, req, route, trace, backend, deadline, send):
     """Sends a request, and cancels it once another server is worth trying.
 
     An idempotent request that takes much longer than the route's usual response
@@ -276,7 +340,7 @@
     started = time.monotonic()
     wait_s = attempttimeout.attempt_timeout(times)
     if not route.idempotent or wait_s >= deadline - started:
-        return await send_request(front, req, route, backend, deadline)
+        return await send_request(front, req, route, backend, deadline, send)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(None) as timer:
@@ -287,12 +351,14 @@
 
             handle = loop.call_later(wait_s, cancel_if_overdue)
             try:
-                return await send_request(front, req, route, backend, deadline)
+                return await send_request(front, req, route, backend, deadline, send)
             finally:
                 handle.cancel()
     except TimeoutError:
         if not timer.expired():
             raise
+    if not send.sent:
+        return Outcome.UNREACHED, None
     log_event(
         front.log,
         "send_overdue",
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -5,6 +5,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from flamingolift_front.pathrecords import lost_services
+
 __all__ = ["FrontMetrics", "render_metrics"]
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
@@ -29,6 +31,8 @@
             object's preferred one.
         limit_grants: Counter of the grants asked for by result: granted, refused, or
             unreachable when no grantor responded.
+        handed_on: Counter of requests that were to be handed on to other instances, by
+            result: answered, unreached, lost, or no_helper; and taken from others.
         store_calls: Counter of calls on the store by kind and result.
         peer_bytes: Counter of the bytes of view updates by direction: sent or received.
         loop_delay: Histogram of the delay of a timer of the event loop (s).
@@ -39,6 +43,7 @@
     __slots__ = (
         "first_sends",
         "gauges",
+        "handed_on",
         "latency",
         "limit_grants",
         "log_dropped",
@@ -96,6 +101,12 @@
             ("result",),
             registry=registry,
         )
+        self.handed_on = Counter(
+            "flamingolift_handed_on",
+            "Requests handed on to other instances, or taken from them",
+            ("result",),
+            registry=registry,
+        )
         self.store_calls = Counter(
             "flamingolift_store_calls",
             "Calls on the platform's store",
@@ -127,6 +138,7 @@
                 ("store_lost", "1 while the store does not answer"),
                 ("instances", "Instances known to be live"),
                 ("backend_servers", "Backend servers known"),
+                ("cut_off_services", "Services from which the instance is cut off"),
                 ("connections", "Callers' open connections"),
                 ("resident_bytes", "Resident memory of the process (bytes)"),
             )
@@ -145,6 +157,7 @@
     gauges["store_lost"].set(view.store_failed_at is not None)
     gauges["instances"].set(len(view.instances))
     gauges["backend_servers"].set(len(view.backends.backends))
+    gauges["cut_off_services"].set(len(lost_services(front)))
     gauges["connections"].set(len(front.connections))
     gauges["resident_bytes"].set(_resident_bytes())
     front.metrics.log_dropped.set(sum(front.log.dropped.values()))
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -1,11 +1,9 @@
 """Trace of a request: its routing decisions and sends, for the log."""
 
-from flamingolift_front.sending import Outcome
+from flamingolift_front.sending import NOT_RUN_OUTCOMES, Outcome
 
 __all__ = ["SendRecord", "Trace", "may_have_run"]
 
-_NOT_RUN_OUTCOMES = (Outcome.UNREACHED, Outcome.NOT_RUN, Outcome.WRONG_SERVER)
-
 
 class SendRecord:
     """One send of a request.
@@ -14,16 +12,20 @@
         server_id: Id of the server.
         rank: Rank of the server in the rendezvous order of the object.
         load: Estimated requests on the server before the send (count).
+        sent: Whether a connection was made and bytes of the request written to it.
+        reused: Whether it was sent on a connection that had been idle.
         outcome: Outcome.
         elapsed_ms: Time that the send took (ms).
     """
 
-    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "server_id")
+    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "reused", "sent", "server_id")
 
     def __init__(self, server_id, rank, load):
         self.server_id = server_id
         self.rank = rank
         self.load = load
+        self.sent = False
+        self.reused = False
         self.outcome = Outcome.CANCELLED
         self.elapsed_ms = 0.0
 
@@ -40,12 +42,15 @@
         tried: Set of the server ids that were tried.
         shed: Whether load shedding keeps it away from servers that name no limit.
         unreached: Number of servers that did not accept a connection.
+        handed_to: Id of the instance that the request was handed on to; empty for
+            none.
         withheld: List of (server id, instance that refused the grant, time until the
             next one (s)) for servers whose limit was reached.
     """
 
     __slots__ = (
         "attempts",
+        "handed_to",
         "policy",
         "route",
         "sends",
@@ -65,13 +70,16 @@
         self.tried = set()
         self.shed = False
         self.unreached = 0
+        self.handed_to = ""
         self.withheld = []
 
 
 def may_have_run(trace):
-    """Returns whether a server may have run the request.
+    """Returns whether a server may have run the request, or may still run it.
 
     Args:
         trace: Trace of a request whose sends have ended.
     """
-    return any(send.outcome not in _NOT_RUN_OUTCOMES for send in trace.sends)
+    if trace.handed_to:
+        return True
+    return any(send.outcome not in NOT_RUN_OUTCOMES for send in trace.sends)
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -5,7 +5,14 @@
 import signal
 import time
 
-from flamingolift_front import callers, limitgrants, lookups, loopwatch, serverpool
+from flamingolift_front import (
+    callers,
+    limitgrants,
+    lookups,
+    loopwatch,
+    pathwatch,
+    serverpool,
+)
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.eventlog import flush_log, log_event
@@ -54,6 +61,7 @@
         pull_from_peers,
         _close_idle_connections,
         loopwatch.watch_loop,
+        pathwatch.watch_paths,
     ):
         start_task(front, _run_forever(front, function))
     registration_task = start_task(front, maintain_registration(front))
@@ -87,11 +95,14 @@
         if port:
             opener = _control_opener(front, handler)
             listeners.append(await _open_listener(cfg, port, opener))
+    if cfg.handover_port:
+        opener = _caller_opener(front, from_instance=True)
+        listeners.append(await _open_listener(cfg, cfg.handover_port, opener))
     return listeners
 
 
-def _caller_opener(front):
-    return lambda stream: callers.accept_caller(front, stream)
+def _caller_opener(front, from_instance=False):
+    return lambda stream: callers.accept_caller(front, stream, from_instance)
 
 
 def _control_opener(front, handler):
@@ -110,7 +121,8 @@
 async def _close_idle_connections(front):
     while True:
         await asyncio.sleep(POOL_SWEEP_INTERVAL_S)
-        serverpool.close_expired(front.pool, time.monotonic())
+        for pool in (front.pool, front.helper_pool):
+            serverpool.close_expired(pool, time.monotonic())
         limitgrants.close_ended_links(front)
 
 
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -8,34 +8,43 @@
 from flamingolift_front import bytestream, httpcall, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
+from flamingolift_front.pathrecords import note_connected
 
 __all__ = [
+    "CONNECT_TIMEOUT_S",
+    "HANDED_ON",
+    "NOT_RUN_OUTCOMES",
     "UNKNOWN_OUTCOMES",
     "CallerRequest",
     "ForwardedResponse",
     "Outcome",
     "send_request",
+    "start_call",
 ]
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time for a connection to a backend server (s): several round trips
 between regions, and less than the usual first retransmission after 1 s."""
+HANDED_ON = b"Flamingolift-Handed-On"
+"""Header field of a request that another instance handed on: the number of servers
+to which it may still be sent."""
 
 
 class Outcome(enum.StrEnum):
     """How one send to a backend server ended.
 
     NOT_RUN is a response that says so in its header, WRONG_SERVER a status 421,
-    UNREACHED a failed connect, LOST a connection that broke off or an invalid
-    response, SILENT a connection whose peer stopped acknowledging, LATE a missed
-    deadline, OVERDUE a send that was cancelled in favour of another server and
-    CANCELLED a send whose caller disconnected.
+    UNREACHED a failed connect, NOT_SENT a connect that the deadline cut short, LOST a
+    connection that broke off or an invalid response, SILENT a connection whose peer
+    stopped acknowledging, LATE a missed deadline, OVERDUE a send that was cancelled in
+    favour of another server and CANCELLED a send whose caller disconnected.
     """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
     WRONG_SERVER = "wrong_server"
     UNREACHED = "unreached"
+    NOT_SENT = "not_sent"
     LOST = "lost"
     SILENT = "silent"
     LATE = "late"
@@ -47,6 +56,10 @@
     (Outcome.LOST, Outcome.SILENT, Outcome.LATE, Outcome.OVERDUE)
 )
 """Outcomes after which it is unknown whether the server ran the request."""
+NOT_RUN_OUTCOMES = frozenset(
+    (Outcome.NOT_RUN, Outcome.WRONG_SERVER, Outcome.UNREACHED, Outcome.NOT_SENT)
+)
+"""Outcomes after which the server has not run the request."""
 
 
 class CallerRequest:
@@ -62,9 +75,12 @@
         object_key: Key of the requested object; empty when the request has none.
         received_at: Time at which the request's head arrived (s, monotonic).
         deadline_at: Time at which the caller stops waiting (s, monotonic).
+        attempts_left: Number of servers to which a request that another instance
+            handed on may still be sent; None for a caller's own request.
     """
 
     __slots__ = (
+        "attempts_left",
         "body",
         "deadline_at",
         "headers",
@@ -87,6 +103,7 @@
         object_key,
         received_at,
         deadline_at,
+        attempts_left=None,
     ):
         self.request_id = request_id
         self.method = method
@@ -97,6 +114,7 @@
         self.object_key = object_key
         self.received_at = received_at
         self.deadline_at = deadline_at
+        self.attempts_left = attempts_left
 
 
 class ForwardedResponse:
@@ -106,7 +124,8 @@
         response: HttpResponse.
         call: HttpCall from which the rest of the body is read; None when `response`
             is complete.
-        backend: Backend that sends the rest of the body; None like `call`.
+        backend: Backend that sends the rest of the body; None like `call`, and when
+            another instance sends it.
     """
 
     __slots__ = ("backend", "call", "response")
@@ -117,7 +136,7 @@
         self.backend = backend
 
 
-async def send_request(front, req, route, backend, deadline):
+async def send_request(front, req, route, backend, deadline, send):
     """Sends a request to a server and reads its response.
 
     Args:
@@ -127,6 +146,8 @@
         backend: Backend.
         deadline: Earlier of the caller's deadline and the route's timeout (s,
             monotonic).
+        send: SendRecord, which tells whether the request was sent even when this
+            function is cancelled.
 
     Returns:
         Tuple of an Outcome and a ForwardedResponse, which is None when there is no
@@ -146,10 +167,14 @@
         except (OSError, TimeoutError):
             return Outcome.UNREACHED, None
         front.pool.opened += 1
+        note_connected(front, entry.service)
         is_reused = False
     finished = False
+    send.sent, send.reused = True, is_reused
     try:
-        call = _start_call(front, req, stream, entry, deadline)
+        expected = _title_case(front.header_names.expected_server)
+        field = (expected, entry.server_id.encode())
+        call = start_call(front, req, stream, deadline, field)
         matches = _response_matcher(front, req, is_reused)
         response = await httpcall.read_response(call, matches)
         finished = True
@@ -204,7 +229,22 @@
     return matches
 
 
-def _start_call(front, req, stream, entry, deadline):
+def start_call(front, req, stream, deadline, field):
+    """Sends a request, with the time that is left.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        stream: ByteStream of an idle connection.
+        deadline: Time at which the answer is no longer useful (s, monotonic).
+        field: Header field (name, value), both bytes, that concerns this send only.
+
+    Returns:
+        HttpCall.
+
+    Raises:
+        InvalidResponseError: The request cannot be sent.
+    """
     names = front.header_names
     remaining_ms = max(1, int((deadline - time.monotonic()) * 1000.0))
     replaced = (
@@ -212,12 +252,13 @@
         b"expect",
         names.deadline_ms.encode(),
         names.expected_server.encode(),
+        HANDED_ON.lower(),
     )
     headers = httpcall.strip_hop_headers(req.headers, replaced)
     if req.body or header(req.headers, "content-length") is not None:
         headers.append((b"Content-Length", str(len(req.body)).encode()))
     headers.append((_title_case(names.deadline_ms), str(remaining_ms).encode()))
-    headers.append((_title_case(names.expected_server), entry.server_id.encode()))
+    headers.append(field)
     try:
         return httpcall.open_call(stream, req.method, req.target, headers, req.body)
     except h11.LocalProtocolError as exc:
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -7,11 +7,15 @@
 from flamingolift_front import httpcall, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
+from flamingolift_front.pathrecords import note_answered, note_unreached
 from flamingolift_front.sending import Outcome
 from flamingolift_front.state import response_times_for
 
 __all__ = ["record_send_result", "record_stream_end"]
 
+_UNREACHED = frozenset((Outcome.UNREACHED, Outcome.SILENT))
+_NO_ANSWER = frozenset((Outcome.LATE, Outcome.OVERDUE))
+
 
 def record_send_result(front, trace, backend, send, forwarded, started):
     """Records the end of a send.
@@ -38,13 +42,15 @@
             response_times_for(front, trace.route), elapsed_s
         )
     front.metrics.sends.labels(trace.service, send.outcome.value).inc()
-    if send.outcome is not Outcome.CANCELLED:
-        _record_outcome(front, backend, send.outcome, forwarded)
+    if send.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+        _record_outcome(front, backend, send, forwarded)
 
 
-def _record_outcome(front, backend, outcome, forwarded):
+def _record_outcome(front, backend, send, forwarded):
     """Updates the server's load, or suspends it after failures."""
-    now = time.monotonic()
+    outcome, now = send.outcome, time.monotonic()
+    if forwarded is not None:
+        note_answered(front, backend.entry.service)
     if outcome in (Outcome.ANSWERED, Outcome.NOT_RUN):
         if forwarded.call is None:
             backends.record_answer(backend)
@@ -53,7 +59,11 @@
         named = header(headers, front.header_names.limit)
         limitgrants.observe_answer(front, backend, named, now)
         return
-    _record_failure(front, backend, outcome, now)
+    # A connection that was idle may have lost its path since, without a sign of it.
+    silent = outcome in _UNREACHED or (outcome in _NO_ANSWER and send.reused)
+    is_connect = outcome is Outcome.UNREACHED
+    is_cut_off = silent and note_unreached(front, backend, now, is_connect)
+    _record_failure(front, backend, outcome, now, is_cut_off)
 
 
 def record_stream_end(front, backend, outcome):
@@ -61,10 +71,12 @@
 
     Args:
         front: Front.
-        backend: Backend that sent it.
+        backend: Backend that sent it; None when another instance did.
         outcome: ANSWERED after the whole body, LOST when the server broke it off,
             LATE at the deadline, or CANCELLED when the caller did not take it.
     """
+    if backend is None:
+        return
     backend.in_flight -= 1
     if outcome is Outcome.ANSWERED:
         backends.record_answer(backend)
@@ -72,16 +84,18 @@
         _record_failure(front, backend, outcome, time.monotonic())
 
 
-def _record_failure(front, backend, outcome, now):
-    """Suspends a server after too many failures."""
-    view, server_id = front.view.backends, backend.entry.server_id
-    if outcome is Outcome.LOST:
-        suspension_s = backends.record_lost_answer(view, backend, now)
-    elif outcome in (Outcome.LATE, Outcome.OVERDUE):
-        suspension_s = backends.record_timeout(view, backend, now)
-    else:
-        suspension_s = backends.suspend_backend(view, backend, now)
-    if outcome not in (Outcome.LATE, Outcome.OVERDUE) or suspension_s:
+def _record_failure(front, backend, outcome, now, is_cut_off=False):
+    """Suspends a server after too many failures, unless the instance is cut off.
+
+    Connections that are open may live on while new ones are refused; a server that
+    failed resets them itself.
+    """
+    server_id = backend.entry.server_id
+    suspension_s = 0.0
+    if not is_cut_off:
+        suspension_s = _suspend(front, backend, outcome, now)
+    stays_open = outcome in _NO_ANSWER and not suspension_s
+    if not stays_open and outcome is not Outcome.UNREACHED:
         serverpool.close_connections(front.pool, server_id)
     log_event(
         front.log,
@@ -92,6 +106,16 @@
     )
 
 
+def _suspend(front, backend, outcome, now):
+    """Returns the time for which a server is suspended for a failure (s)."""
+    view = front.view.backends
+    if outcome is Outcome.LOST:
+        return backends.record_lost_answer(view, backend, now)
+    if outcome in _NO_ANSWER:
+        return backends.record_timeout(view, backend, now)
+    return backends.suspend_backend(view, backend, now)
+
+
 def _record_load(front, backend, outcome, headers, now):
     """Records the load that a server reports; one that rejects a request is full."""
     if outcome is Outcome.NOT_RUN:
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -10,8 +10,10 @@
 from flamingolift_decisions.attempttimeout import AnswerTimes
 from flamingolift_decisions.backends import BackendView
 from flamingolift_decisions.instancecount import InstanceCount
+from flamingolift_decisions.serverpaths import ServerPaths
 from flamingolift_decisions.windowbudget import WindowBudget
 
+from flamingolift_front.helperlist import Helpers
 from flamingolift_front.serverpool import ServerPool
 
 __all__ = [
@@ -213,6 +215,11 @@
         pool: ServerPool.
         affinity_cache: AffinityCache.
         response_times: Map of route name to AnswerTimes.
+        paths: ServerPaths of all signs of a path to a server.
+        connects: ServerPaths of connects alone.
+        helpers: Helpers.
+        helper_pool: ServerPool of the connections to instances that take requests.
+        taken: Number of requests of other instances that are in progress.
         retry_budgets: Map of service name to WindowBudget.
         connections: Set of the callers' CallerConnection that are open.
         links: Map of (host, port) to the PeerLink to a relay.
@@ -232,14 +239,18 @@
         "affinity_cache",
         "cfg",
         "connections",
+        "connects",
         "exit_at",
         "failed_grantors",
         "grant_links",
         "header_names",
+        "helper_pool",
+        "helpers",
         "incarnation",
         "links",
         "log",
         "metrics",
+        "paths",
         "pool",
         "response_times",
         "retry_budgets",
@@ -247,6 +258,7 @@
         "started_at",
         "stopping",
         "store",
+        "taken",
         "tasks",
         "view",
     )
@@ -259,6 +271,11 @@
         self.metrics = metrics
         self.view = View()
         self.pool = ServerPool()
+        self.paths = ServerPaths()
+        self.connects = ServerPaths()
+        self.helpers = Helpers()
+        self.helper_pool = ServerPool()
+        self.taken = 0
         self.affinity_cache = AffinityCache()
         self.response_times = {}
         self.retry_budgets = {}
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -119,6 +119,22 @@
         "outcome",
         "suspended_s",
     ),
+    "servers_cut_off": (
+        "services",
+        "cut",
+        "servers",
+        "age_s",
+    ),
+    "servers_regained": (
+        "service",
+        "cut",
+        "cut_off_s",
+    ),
+    "hand_on_failed": (
+        "id",
+        "peer",
+        "cause",
+    ),
     "server_limit_changed": (
         "server",
         "change",
@@ -166,6 +182,7 @@
         "elapsed_ms",
         "sends",
         "withheld",
+        "handed_to",
         "detail",
     ),
 }
