Refuse entries of the store that are nested too deeply

Cause: `json.loads` raises RecursionError, which `decode_item` did not expect, so that the task which reads the view failed at each read. Class: an exception that the decoder raises is missing among those of a malformed value.

As a precaution, the value of an unknown field, which is encoded again for peers, may be nested 32 levels: the depth limits of decoder and encoder are unrelated. test_odd_entries.py failed before with "RecursionError: maximum recursion depth exceeded while decoding a JSON array", and for an instance's entry because the entry was taken.

--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -19,6 +19,8 @@
 MAX_UNKNOWN_FIELDS = 32
 """Limit on the unknown fields that one record carries."""
 MAX_DEPTH = 8
+MAX_UNKNOWN_DEPTH = 32
+"""Limit on the nesting of an unknown field's value, which has to be encoded again."""
 
 _SCALARS = {"int": int, "float": (int, float), "str": str, "bool": bool, "bytes": bytes}
 # Types that decoders return; a subclass of one is accepted as well.
@@ -191,9 +193,21 @@
         found.extend((f".{name}", "is not a known field") for name in unknown)
     elif len(unknown) > MAX_UNKNOWN_FIELDS:
         found.append(("", "has too many unknown fields"))
+    else:
+        for name, item in unknown.items():
+            if not _is_encodable(item, MAX_UNKNOWN_DEPTH):
+                found.append((f".{name}", "cannot be encoded again"))
     return unknown
 
 
+def _is_encodable(value, levels):
+    """Returns whether a value of an unknown field can be encoded and decoded again."""
+    if isinstance(value, (list, dict)):
+        parts = value if isinstance(value, list) else [*value, *value.values()]
+        return levels > 0 and all(_is_encodable(part, levels - 1) for part in parts)
+    return True
+
+
 def _make_check(cls, field, type_name):
     container = _CONTAINER.match(type_name)
     if container:
