Refuse numbers of the store that cannot be encoded or are no plain digits

Cause: an `int` field without bounds took any integer of JSON, and packing the view for peers raised OverflowError each time; a fault about an integer of more than 4300 digits raised ValueError while its text was made. Class: what a decoder takes exceeds the range of the next encoder.

Integers of all records, and those in unknown fields, must fit in 64 bits.

--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -133,7 +133,9 @@
 def parse_count(text):
     """Returns a decimal number of a header field or query, or None if it is none."""
     text = text.strip()
-    return int(text) if text.isdecimal() and len(text) <= MAX_COUNT_DIGITS else None
+    # `isdecimal` alone accepts the digits of other scripts.
+    is_count = text.isascii() and text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if is_count else None
 
 
 def parse_decimal(text):
--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -19,13 +19,17 @@
 MAX_UNKNOWN_FIELDS = 32
 """Limit on the unknown fields that one record carries."""
 MAX_DEPTH = 8
+MIN_INT = -(2**63)
+MAX_INT = 2**64 - 1
+"""Largest integer that can be encoded; the smallest is `MIN_INT`."""
 MAX_UNKNOWN_DEPTH = 32
 """Limit on the nesting of an unknown field's value, which has to be encoded again."""
 
 _SCALARS = {"int": int, "float": (int, float), "str": str, "bool": bool, "bytes": bytes}
 # Types that decoders return; a subclass of one is accepted as well.
 _USUAL_TYPES = {"int": int, "float": float, "str": str, "bool": bool, "bytes": bytes}
-_SCALAR_TYPES = frozenset((*_USUAL_TYPES.values(), type(None)))
+_PLAIN_SCALARS = (*_USUAL_TYPES.values(), type(None))
+_SCALAR_TYPES = frozenset(_PLAIN_SCALARS)
 _CONTAINER = re.compile(r"^(list|map)\[(.+)\]$")
 _INVALID = object()
 """Result of a check that found faults."""
@@ -205,7 +209,9 @@
     if isinstance(value, (list, dict)):
         parts = value if isinstance(value, list) else [*value, *value.values()]
         return levels > 0 and all(_is_encodable(part, levels - 1) for part in parts)
-    return True
+    if isinstance(value, int):
+        return MIN_INT <= value <= MAX_INT
+    return isinstance(value, _PLAIN_SCALARS)
 
 
 def _make_check(cls, field, type_name):
@@ -301,9 +307,13 @@
 def _bounds(field, type_name):
     if type_name == "bool":
         return False, True
-    limit = sys.float_info.max if type_name == "float" else math.inf
-    low = -limit if field.min is None else max(field.min, -limit)
-    return low, limit if field.max is None else min(field.max, limit)
+    low, high = -math.inf, math.inf
+    if type_name == "float":
+        low, high = -sys.float_info.max, sys.float_info.max
+    elif type_name == "int":
+        low, high = MIN_INT, MAX_INT
+    low = low if field.min is None else max(field.min, low)
+    return low, high if field.max is None else min(field.max, high)
 
 
 def _to_float(value):
@@ -328,6 +338,10 @@
         if not math.isfinite(value):
             found.append(("", "must be a finite number"))
             return _INVALID
+    elif type_name == "int" and not MIN_INT <= value <= MAX_INT:
+        # Its digits are left out: Python limits the length of integers in text.
+        found.append(("", "must fit in 64 bits"))
+        return _INVALID
     low, high = _bounds(field, type_name)
     if type_name in ("str", "bytes"):
         if not low <= len(value) <= high:
--- a/packages/model/src/flamingolift_model/tests/test_encodable.py
+++ b/packages/model/src/flamingolift_model/tests/test_encodable.py
@@ -1,8 +1,10 @@
 """What a record takes from outside can be encoded for others."""
 
-from flamingolift_model import Fault, ResultCode, from_plain
-from flamingolift_model.conversion import MAX_UNKNOWN_DEPTH
-from flamingolift_model.routing import WeightedService
+import msgpack
+import pytest
+from flamingolift_model import Fault, ResultCode, from_plain, to_plain
+from flamingolift_model.conversion import MAX_INT, MAX_UNKNOWN_DEPTH
+from flamingolift_model.routing import ServiceSpec, WeightedService
 
 GOOD = {"service": "maps", "weight": 1.0}
 
@@ -16,3 +18,20 @@
     fault = Fault(ResultCode.POLICY_FIELD, "new: cannot be encoded again")
     for deep in ([inner], {"a": inner}):
         assert from_plain(WeightedService, GOOD | {"new": deep}).error == [fault]
+
+
+# Guards against integers that only some encoders hold, and against messages that fail
+# because of the digits of such a number.
+@pytest.mark.parametrize(
+    "number", [MAX_INT + 1, 10**400, 1 << 20_000], ids=["64 bits", "float", "text"]
+)
+def test_integer_beyond_64_bits_is_a_fault(number):
+    fields = {"name": "maps", "max_connections": MAX_INT}
+    assert msgpack.packb(to_plain(from_plain(ServiceSpec, fields).ok))
+    fault = Fault(ResultCode.POLICY_FIELD, "max_connections: must fit in 64 bits")
+    for odd in (number, -number):
+        faults = from_plain(ServiceSpec, fields | {"max_connections": odd}).error
+        assert faults == [fault]
+    is_float = number < 10**308
+    assert from_plain(WeightedService, GOOD | {"weight": number}).is_ok() == is_float
+    assert from_plain(WeightedService, GOOD | {"new": [number]}).is_error()
