Refuse entries at addresses that cannot be dialled

Cause: a host was any text, so that a connect to it looked a name up or raised; and a seed of the settings, or a peer's address, with a port that `connect` refuses raised OverflowError, which is no OSError, in the task that keeps the view. The port of an entry was bounded by the schema already. Class: an address is used that was checked by another rule than that of the connect.

Seeds need a port from 1 to 65535, and a link whose address cannot be dialled or named in a header fails as a PeerError.

The reference of test_conversion.py has the new rules on 64 bits, unknown fields and addresses; documents that it holds to be valid are drawn within them.

--- a/packages/front/src/flamingolift_front/peerlink.py
+++ b/packages/front/src/flamingolift_front/peerlink.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import h11
 import msgpack
 
 from flamingolift_front import bytestream, httpcall
@@ -101,7 +102,8 @@
         link: PeerLink.
 
     Raises:
-        PeerError: The connection failed, or the response cannot be used.
+        PeerError: The connection failed, the peer's address is none that can be
+            dialled, or the response cannot be used.
     """
     try:
         yield
@@ -110,6 +112,8 @@
         TimeoutError,
         ValueError,
         TypeError,
+        OverflowError,
+        h11.LocalProtocolError,
         msgpack.UnpackException,
         httpcall.InvalidResponseError,
     ) as exc:
--- a/packages/front/src/flamingolift_front/viewsource.py
+++ b/packages/front/src/flamingolift_front/viewsource.py
@@ -10,7 +10,7 @@
 
 from flamingolift_model import FaultError
 
-from flamingolift_front import peerlink, peersync, relaysync, viewsync
+from flamingolift_front import httpcall, peerlink, peersync, relaysync, viewsync
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.relaysync import FollowingEnd
 
@@ -40,6 +40,8 @@
 be in force."""
 PULL_AFTER_S = 0.6
 """Length of a store outage from which peers are asked (s): a few failed calls."""
+MAX_PORT = 65535
+"""Largest TCP port."""
 PULL_INTERVAL_S = 0.8
 """Interval between requests to peers (s): a third of the shortest time in which a
 change must be in force."""
@@ -126,6 +128,7 @@
     if not known:
         for seed in front.cfg.peer_seeds:
             host, _, port = seed.rpartition(":")
-            if port.isdecimal() and host != front.cfg.host:
-                known.append((host, int(port)))
+            number = httpcall.parse_count(port)
+            if number and number <= MAX_PORT and host != front.cfg.host:
+                known.append((host, number))
     return front.rng.choice(known) if known else None
--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -5,6 +5,7 @@
 
 import copy
 import functools
+import ipaddress
 import math
 import re
 import sys
@@ -35,6 +36,19 @@
 """Result of a check that found faults."""
 
 
+def _is_address(text):
+    """Returns whether a text is a numeric IP address without a zone."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return "%" not in text
+
+
+FORMATS = {"address": (_is_address, "must be a numeric IP address")}
+"""Map of a string's form in the schema to its check and the text of its fault."""
+
+
 def to_plain(record):
     """Converts a record to plain values.
 
@@ -162,7 +176,7 @@
     return tuple(
         (
             field.name,
-            None if field.enum else _USUAL_TYPES.get(field.type),
+            None if field.enum or field.format else _USUAL_TYPES.get(field.type),
             field.type in ("str", "bytes"),
             *_bounds(field, field.type),
             _make_check(cls, field, field.type),
@@ -299,7 +313,7 @@
             return value
         return _check_scalar(field, type_name, value, found)
 
-    if field.enum:
+    if field.enum or field.format:
         return check_any
     return check_length if type_name in ("str", "bytes") else check_number
 
@@ -346,6 +360,11 @@
     if type_name in ("str", "bytes"):
         if not low <= len(value) <= high:
             return _add_range_fault(field, len(value), "has length {}", found)
+        if field.format:
+            has_format, text = FORMATS[field.format]
+            if not has_format(value):
+                found.append(("", text))
+                return _INVALID
     elif not low <= value <= high:
         return _add_range_fault(field, value, "is {}", found)
     return value
--- a/packages/model/src/flamingolift_model/record.py
+++ b/packages/model/src/flamingolift_model/record.py
@@ -61,6 +61,8 @@
             None for no bound.
         max: Largest value or length; None for no bound.
         enum: Allowed values; empty for any.
+        format: Name of the form that a string must have (`conversion.FORMATS`); empty
+            for any.
         optional: Whether None is allowed.
         secret: Whether the value is left out of `repr`.
     """
@@ -68,6 +70,7 @@
     __slots__ = (
         "default",
         "enum",
+        "format",
         "max",
         "min",
         "name",
@@ -86,6 +89,7 @@
         enum=(),
         optional=False,
         secret=False,
+        format="",
     ):
         self.name = name
         self.type = type
@@ -95,6 +99,7 @@
         self.enum = enum
         self.optional = optional
         self.secret = secret
+        self.format = format
 
 
 class Record:
--- a/packages/model/src/flamingolift_model/tests/test_conversion.py
+++ b/packages/model/src/flamingolift_model/tests/test_conversion.py
@@ -5,14 +5,23 @@
 import importlib
 import itertools
 import math
+import re
 
 import hypothesis.strategies as st
+import msgpack
 import pytest
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
-from flamingolift_model.conversion import MAX_DEPTH, MAX_UNKNOWN_FIELDS
+from flamingolift_model.conversion import (
+    MAX_DEPTH,
+    MAX_INT,
+    MAX_UNKNOWN_FIELDS,
+    MIN_INT,
+)
 from flamingolift_model.record import MISSING, Field, Record
 from hypothesis import given, settings
 
+ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}|(?=.*:.*:)[0-9a-f:.]+", re.ASCII)
+"""Shapes of the addresses that the strategies draw."""
 MODULES = (
     "plan",
     "policy",
@@ -176,9 +185,22 @@
             faults[-1] += ": is not a known field"
     elif len(unknown) > MAX_UNKNOWN_FIELDS:
         faults.append(f"{path or 'document'}: has too many unknown fields")
+    else:
+        odd = [name for name in unknown if not is_packable(value[name])]
+        paths = [f"{prefix}{name}" or "document" for name in odd]
+        faults += [f"{found}: cannot be encoded again" for found in paths]
     return faults
 
 
+def is_packable(value):
+    """Returns whether msgpack can encode a value."""
+    try:
+        msgpack.packb(value)
+    except (OverflowError, UnicodeEncodeError, ValueError):
+        return False
+    return True
+
+
 def reference_field_faults(cls, f, type_name, value, strict, path, depth):
     if value is None and f.optional and type_name == f.type:
         return []
@@ -226,6 +248,8 @@
         return [f"{path}: must be a finite number"]
     if type_name == "bool":
         return []
+    if type_name == "int" and not is_packable(value):
+        return [f"{path}: must fit in 64 bits"]
     phrase, size = "is", float(value) if type_name == "float" else value
     if type_name in ("str", "bytes"):
         phrase, size = "has length", len(value)
@@ -233,6 +257,8 @@
         return [f"{path}: {phrase} {size}; at least {f.min} is required"]
     if f.max is not None and size > f.max:
         return [f"{path}: {phrase} {size}; at most {f.max} is allowed"]
+    if f.format == "address" and not ADDRESS.fullmatch(value):
+        return [f"{path}: must be a numeric IP address"]
     return []
 
 
@@ -292,7 +318,8 @@
     if draw(st.integers(0, 3)) == 0:
         known = {f.name for f in cls.FIELDS}
         unknown = st.text(max_size=3).filter(lambda name: name not in known)
-        value.update(draw(st.dictionaries(unknown, junk, max_size=2)))
+        kept = junk if damage else junk.filter(is_packable)
+        value.update(draw(st.dictionaries(unknown, kept, max_size=2)))
     if draw(st.booleans()):
         value = dict(draw(st.permutations(list(value.items()))))
     return value
@@ -325,10 +352,14 @@
     low, high = (f.min, f.max) if bounded else (None, None)
     if bounded and f.enum:
         return st.sampled_from(f.enum)
+    if bounded and f.format == "address":
+        return st.ip_addresses().map(str)
     if type_name == "bool":
         return st.booleans()
     if type_name == "int":
-        numbers = st.integers(low, high)
+        numbers = st.integers(
+            MIN_INT if low is None else low, MAX_INT if high is None else high
+        )
         edges = st.sampled_from([n for n in (low, high) if n is not None] or [0])
         return numbers | edges.map(lambda n: n + 1) if damage else numbers
     if type_name == "float":
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -234,7 +234,7 @@
     options = ""
     if "default" in field:
         options += f", default={field['default']!r}"
-    for name in ("min", "max", "optional", "secret"):
+    for name in ("min", "max", "optional", "secret", "format"):
         if name in field:
             options += f", {name}={field[name]!r}"
     if "enum" in field:
