Refuse text of the store that cannot be encoded or put into a header field

Cause: JSON may hold lone surrogates, which `str.encode` refuses; hashing a server's id and packing the view raised UnicodeEncodeError. The id is sent in a header field, which takes no control characters. Class: what a decoder takes is outside the alphabet of the next encoder.

Text of all records, names in maps and unknown fields must be UTF-8, and the ids of instances and backend servers printable (`format` "line" of the schema). The reference of test_conversion.py has the new rules too.

--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -45,7 +45,25 @@
     return "%" not in text
 
 
-FORMATS = {"address": (_is_address, "must be a numeric IP address")}
+def _is_line(text):
+    """Returns whether a text can be the value of a header field."""
+    return text.isprintable() and text == text.strip()
+
+
+def _is_utf8(value):
+    """Returns whether a value is text without lone surrogates, so that it encodes."""
+    if not isinstance(value, str):
+        return False
+    try:
+        return value.isascii() or bool(value.encode())
+    except UnicodeEncodeError:
+        return False
+
+
+FORMATS = {
+    "address": (_is_address, "must be a numeric IP address"),
+    "line": (_is_line, "must be printable, without spaces at its ends"),
+}
 """Map of a string's form in the schema to its check and the text of its fault."""
 
 
@@ -154,6 +172,7 @@
                 # Most fields are usual scalars; a call for each would cost more.
                 if type(item) is not usual_type or not (
                     low <= (len(item) if sized else item) <= high
+                    and (usual_type is not str or item.isascii())
                 ):
                     item = check(item, found, strict, depth + 1)
             else:
@@ -213,7 +232,7 @@
         found.append(("", "has too many unknown fields"))
     else:
         for name, item in unknown.items():
-            if not _is_encodable(item, MAX_UNKNOWN_DEPTH):
+            if not _is_encodable([name, item], MAX_UNKNOWN_DEPTH + 1):
                 found.append((f".{name}", "cannot be encoded again"))
     return unknown
 
@@ -223,6 +242,8 @@
     if isinstance(value, (list, dict)):
         parts = value if isinstance(value, list) else [*value, *value.values()]
         return levels > 0 and all(_is_encodable(part, levels - 1) for part in parts)
+    if isinstance(value, str):
+        return _is_utf8(value)
     if isinstance(value, int):
         return MIN_INT <= value <= MAX_INT
     return isinstance(value, _PLAIN_SCALARS)
@@ -287,6 +308,9 @@
         items = {}
         for key, item in value.items():
             item = check_item(item, found, strict, depth + 1)
+            if item is not _INVALID and not _is_utf8(key):
+                found.append(("", "must be named by Unicode text"))
+                item = _INVALID
             if item is _INVALID:
                 end = _prepend_step(found, end, f".{key}")
             items[key] = item
@@ -309,7 +333,8 @@
         return _check_scalar(field, type_name, value, found)
 
     def check_length(value, found, strict, depth):
-        if type(value) is usual_type and low <= len(value) <= high:
+        is_usual = type(value) is usual_type and low <= len(value) <= high
+        if is_usual and (usual_type is bytes or value.isascii()):
             return value
         return _check_scalar(field, type_name, value, found)
 
@@ -360,6 +385,9 @@
     if type_name in ("str", "bytes"):
         if not low <= len(value) <= high:
             return _add_range_fault(field, len(value), "has length {}", found)
+        if type_name == "str" and not _is_utf8(value):
+            found.append(("", "must be Unicode text"))
+            return _INVALID
         if field.format:
             has_format, text = FORMATS[field.format]
             if not has_format(value):
--- a/packages/model/src/flamingolift_model/plan.py
+++ b/packages/model/src/flamingolift_model/plan.py
@@ -199,7 +199,7 @@
         "state",
     )
     FIELDS = (
-        Field("instance_id", "str", min=1, max=128),
+        Field("instance_id", "str", min=1, max=128, format="line"),
         Field("region", "str", min=1, max=64),
         Field("failure_domain", "str", min=1, max=64),
         Field("site", "str", default="", max=64),
@@ -272,7 +272,7 @@
         "state",
     )
     FIELDS = (
-        Field("server_id", "str", min=1, max=128),
+        Field("server_id", "str", min=1, max=128, format="line"),
         Field("service", "str", min=1, max=64),
         Field("region", "str", min=1, max=64),
         Field("failure_domain", "str", min=1, max=64),
--- a/packages/model/src/flamingolift_model/tests/test_conversion.py
+++ b/packages/model/src/flamingolift_model/tests/test_conversion.py
@@ -3,9 +3,9 @@
 import copy
 import enum
 import importlib
-import itertools
 import math
 import re
+import unicodedata
 
 import hypothesis.strategies as st
 import msgpack
@@ -222,12 +222,26 @@
         items = [(f"{path}[{i}]", item) for i, item in enumerate(value)]
     else:
         items = [(f"{path}.{key}", item) for key, item in value.items()]
-    return list(
-        itertools.chain.from_iterable(
-            reference_field_faults(cls, f, inner, item, strict, item_path, depth + 1)
-            for item_path, item in items
+    faults = []
+    for number, (item_path, item) in enumerate(items):
+        found = reference_field_faults(
+            cls, f, inner, item, strict, item_path, depth + 1
         )
-    )
+        if kind == "map" and not found and not is_text(list(value)[number]):
+            found = [f"{item_path}: must be named by Unicode text"]
+        faults += found
+    return faults
+
+
+def is_line(value):
+    """Returns whether a text has neither separators, except inner spaces, nor controls."""
+    inner = value.replace(" ", "")
+    kinds = {unicodedata.category(c)[0] for c in inner}
+    return not kinds & {"C", "Z"} and value == value.strip(" ")
+
+
+def is_text(value):
+    return isinstance(value, str) and is_packable(value)
 
 
 def reference_scalar_faults(f, type_name, value, path):
@@ -259,6 +273,10 @@
         return [f"{path}: {phrase} {size}; at most {f.max} is allowed"]
     if f.format == "address" and not ADDRESS.fullmatch(value):
         return [f"{path}: must be a numeric IP address"]
+    if type_name == "str" and not is_packable(value):
+        return [f"{path}: must be Unicode text"]
+    if f.format == "line" and not is_line(value):
+        return [f"{path}: must be printable, without spaces at its ends"]
     return []
 
 
@@ -369,6 +387,8 @@
             math.floor(2**53 if high is None else high),
         )
         return numbers | whole
+    if bounded and f.format == "line":
+        return st.text("ab \xe9", min_size=1, max_size=4).filter(is_line)
     texts = st.text if type_name == "str" else st.binary
     least = low or 0
     most = least + MAX_LENGTH if high is None else min(high, least + MAX_LENGTH)
--- a/packages/model/src/flamingolift_model/tests/test_encodable.py
+++ b/packages/model/src/flamingolift_model/tests/test_encodable.py
@@ -4,6 +4,7 @@
 import pytest
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
 from flamingolift_model.conversion import MAX_INT, MAX_UNKNOWN_DEPTH
+from flamingolift_model.plan import ServiceLoad
 from flamingolift_model.routing import ServiceSpec, WeightedService
 
 GOOD = {"service": "maps", "weight": 1.0}
@@ -35,3 +36,27 @@
     is_float = number < 10**308
     assert from_plain(WeightedService, GOOD | {"weight": number}).is_ok() == is_float
     assert from_plain(WeightedService, GOOD | {"new": [number]}).is_error()
+
+
+# Guards against text of JSON that neither a hash nor a message can hold.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"service": "\ud800"},
+        {"service": "a\udfffb"},
+        {"new": "\ud800"},
+        {"new": [{"\ud800": 1}]},
+        {"\ud800": 1},
+    ],
+)
+def test_lone_surrogate_is_a_fault(fields):
+    assert from_plain(WeightedService, GOOD | fields).is_error()
+    assert from_plain(WeightedService, GOOD | {"service": "Köln \U0001f682"}).is_ok()
+
+
+# Guards against names that cannot be compared with, or sorted among, other names.
+@pytest.mark.parametrize("key", ["\ud800", b"a"])
+def test_name_in_a_map_must_be_unicode_text(key):
+    fields = {"service": "maps", "demand": {"upland": 1.0}}
+    assert from_plain(ServiceLoad, fields).is_ok()
+    assert from_plain(ServiceLoad, fields | {"demand": {key: 1.0}}).is_error()
