--- a/packages/model/src/flamingolift_model/tests/test_conversion.py
+++ b/packages/model/src/flamingolift_model/tests/test_conversion.py
@@ -234,7 +234,7 @@
 
 
 def is_line(value):
-    """Returns whether a text has neither separators, except inner spaces, nor controls."""
+    """Returns whether a text has no separators, except inner spaces, or controls."""
     inner = value.replace(" ", "")
     kinds = {unicodedata.category(c)[0] for c in inner}
     return not kinds & {"C", "Z"} and value == value.strip(" ")
