--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -21,12 +21,15 @@
 from flamingolift_front.viewera import is_behind_era, is_obsolete
 
 __all__ = [
+    "UNREADABLE",
     "apply_changes",
     "apply_snapshot",
     "call_store",
     "follow_store",
 ]
 
+UNREADABLE = object()
+"""Document of an item in a snapshot that cannot be used; the last valid one stays."""
 MAX_RECENT_CHANGES = 2000
 """Changes kept for peers: about one minute's worth while all backend servers of a
 large fleet restart."""
@@ -125,18 +128,18 @@
 
     Args:
         front: Front.
-        items: List of ViewChange, one for each key.
+        items: List of ViewChange, one for each key; the document may be `UNREADABLE`.
         revision: Revision of the store that the items belong to.
         source: Address of the peer that sent the items, or "store".
     """
     view = front.view
     is_new_era = era_of(revision) > view.applied_era and bool(view.documents)
-    kept = set()
+    unused = {i.key for i in items if i.document is UNREADABLE}
     if is_new_era:
-        obsolete = {i.key for i in items if is_obsolete(front, i, revision)}
-        items = [item for item in items if item.key not in obsolete]
-        # The store holds an older report of these, so they are not missing.
-        kept = obsolete & set(view.documents)
+        unused |= {i.key for i in items if is_obsolete(front, i, revision)}
+    items = [item for item in items if item.key not in unused]
+    # The store holds an unusable or older value of these, so they are not missing.
+    kept = unused & set(view.documents)
     present = kept | {item.key for item in items}
     removals = [
         ViewChange(key, None, revision) for key in view.documents if key not in present
