Apply the good documents of a peer's update that holds an odd one

Cause: an update was refused whole when one document broke a rule of its class, or was of a class that a later release added; and a revision beyond all positions of the store was taken, after which nothing was newer. Class: one part that cannot be used fails the whole.

A document that breaks a rule is now handled like an odd item of the store: a server is no longer used, of any other key the last valid document stays, and `item_malformed` is logged. Damaged updates are refused as before. Revisions end at the last position.

--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -173,10 +173,14 @@
     view, own_revision = front.view, front.view.revision
     if own_revision is not None and update.revision <= own_revision:
         return False
+    if own_revision is None and not update.is_snapshot:
+        return False
+    for key, revision, detail in update.malformed:
+        log_event(
+            front.log, "item_malformed", key=key, revision=revision, detail=detail
+        )
     if update.is_snapshot:
         apply_snapshot(front, update.changes, update.revision, peer)
-    elif own_revision is None:
-        return False
     else:
         fresh = [change for change in update.changes if change.revision > own_revision]
         apply_changes(front, fresh, update.revision, peer)
--- a/packages/front/src/flamingolift_front/viewupdates.py
+++ b/packages/front/src/flamingolift_front/viewupdates.py
@@ -13,6 +13,7 @@
 from flamingolift_model.viewupdate import PackedChange, PackedUpdate
 
 from flamingolift_front.state import EncodedUpdate, PackedDocument, ViewChange
+from flamingolift_front.viewsync import UNREADABLE
 
 __all__ = ["ViewUpdate", "decode_update", "encode_update"]
 
@@ -38,16 +39,20 @@
         revision: Revision of the peer's view.
         is_snapshot: Whether `changes` holds the whole view instead of the difference.
         announced_bytes: Size of the changes when they were left out (bytes), else 0.
-        changes: List of ViewChange.
+        changes: List of ViewChange. The document of one that cannot be used is None
+            for a server; otherwise it is `UNREADABLE` in a snapshot, and the change is
+            left out of a difference.
+        malformed: List of (key, revision, detail) of the changes that cannot be used.
     """
 
-    __slots__ = ("announced_bytes", "changes", "is_snapshot", "revision")
+    __slots__ = ("announced_bytes", "changes", "is_snapshot", "malformed", "revision")
 
-    def __init__(self, revision, is_snapshot, announced_bytes, changes):
+    def __init__(self, revision, is_snapshot, announced_bytes, changes, malformed):
         self.revision = revision
         self.is_snapshot = is_snapshot
         self.announced_bytes = announced_bytes
         self.changes = changes
+        self.malformed = malformed
 
 
 def encode_update(view, after, max_bytes):
@@ -144,22 +149,25 @@
         ViewUpdate.
 
     Raises:
-        ValueError: The update or a document in it is malformed or too large.
+        ValueError: The update is malformed, or a document in it is damaged or too
+            large. A document that breaks a rule of its class fails only its change.
     """
     update = _build(PackedUpdate, msgpack.unpackb(data))
     known = -1 if own_revision is None else own_revision
-    changes = []
+    changes, malformed = [], []
     if update.revision > known and update.changes:
         body, limit = update.changes, MAX_CHANGES_BYTES
         rows = msgpack.unpackb(_decompress(body, limit) if update.compressed else body)
         packed = [_build(PackedChange, row) for row in rows]
         changes = [
-            _unpack_change(change)
+            _unpack_change(change, malformed)
             for change in packed
             if update.is_snapshot or change.revision > known
         ]
+        if not update.is_snapshot:
+            changes = [c for c in changes if c.document is not UNREADABLE]
     return ViewUpdate(
-        update.revision, update.is_snapshot, update.announced_bytes, changes
+        update.revision, update.is_snapshot, update.announced_bytes, changes, malformed
     )
 
 
@@ -170,16 +178,23 @@
     return built.ok
 
 
-def _unpack_change(change):
+def _unpack_change(change, malformed):
+    """Returns the ViewChange of a PackedChange, and records one that cannot be used."""
+    key, revision = change.key, change.revision
     if not change.kind:
-        return ViewChange(change.key, None, change.revision)
+        return ViewChange(key, None, revision)
     cls = _DOCUMENT_CLASSES.get(change.kind)
     if cls is None:
-        raise ValueError(f"{change.key!r:.80} has an unknown class")
+        malformed.append((key, revision, f"unknown class {change.kind}"))
+        return ViewChange(key, UNREADABLE, revision)
     body = change.body
     if change.compressed:
         body = _decompress(body, MAX_DOCUMENT_BYTES)
-    return ViewChange(change.key, _build(cls, msgpack.unpackb(body)), change.revision)
+    built = from_plain(cls, msgpack.unpackb(body))
+    if built.is_ok():
+        return ViewChange(key, built.ok, revision)
+    malformed.append((key, revision, built.error[0].detail))
+    return ViewChange(key, None if cls is BackendEntry else UNREADABLE, revision)
 
 
 def _decompress(body, max_bytes):
--- a/packages/model/src/flamingolift_model/viewupdate.py
+++ b/packages/model/src/flamingolift_model/viewupdate.py
@@ -26,7 +26,7 @@
     FIELDS = (
         Field("key", "str", min=1, max=1024),
         Field("kind", "str", default="", max=64),
-        Field("revision", "int"),
+        Field("revision", "int", min=0, max=100000999999999999),
         Field("compressed", "bool", default=False),
         Field("body", "bytes"),
     )
@@ -61,7 +61,7 @@
 
     __slots__ = ("announced_bytes", "changes", "compressed", "is_snapshot", "revision")
     FIELDS = (
-        Field("revision", "int", min=-1),
+        Field("revision", "int", min=-1, max=100000999999999999),
         Field("is_snapshot", "bool", default=False),
         Field("announced_bytes", "int", default=0, min=0),
         Field("compressed", "bool", default=False),
