Bound the figures that instances tell each other about limits

Cause: a reply's limit or age may be any finite number; as decimal text in the next question it is longer than the reader takes, so that each question is refused as malformed; a wait of any length withheld the server for as long. A target such as "//[" on the peer port raised in `urlsplit` and ended the connection without a response. Class: a message is taken that its receiver cannot pass on.

Limits are at most those that an answer may name, ages end at 1e12 ms on both sides, a reply withholds a server for at most 60 s, and a malformed target gets status 400. Before, test_odd_peers.py failed with "assert 400 == 200", "assert 1e+297 <= 60.0" and "ValueError: Invalid IPv6 URL".

--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -23,9 +23,13 @@
             and `object` for an explanation of how a request is routed.
 
     Returns:
-        HttpResponse; a problem document with status 404 for any other target.
+        HttpResponse; a problem document with status 404 for any other target, and
+        with status 400 for a malformed one.
     """
-    split = urllib.parse.urlsplit(target)
+    try:
+        split = urllib.parse.urlsplit(target)
+    except ValueError as exc:
+        return problem_response(Fault(ResultCode.BAD_REQUEST, f"target: {exc}"))
     if split.path == "/view":
         return await serve_view(front, target)
     if split.path == "/grant":
--- a/packages/front/src/flamingolift_front/limitgrants.py
+++ b/packages/front/src/flamingolift_front/limitgrants.py
@@ -32,6 +32,10 @@
 """Idle connections that are kept to each grantor."""
 MAX_TOLD_AT_ONCE = 8
 """Instances that are told of a change at the same time."""
+MAX_AGE_MS = 1e12
+"""Largest age of an answer that is told to other instances (ms)."""
+MAX_GRANT_WAIT_S = 60.0
+"""Longest time for which a grantor's reply withholds a server (s)."""
 MAX_LOGGED_CHARS = 40
 """Characters of a malformed header field that are logged."""
 
@@ -136,10 +140,16 @@
             continue
         if not serverlimits.is_limited(backend):
             return entry.instance_id, 0.0
-        return entry.instance_id, 0.0 if reply.granted else reply.wait_ms / 1000.0
+        return entry.instance_id, _wait_s(reply)
     return "", NO_GRANTOR_PAUSE_S
 
 
+def _wait_s(reply):
+    if reply.granted:
+        return 0.0
+    return min(MAX_GRANT_WAIT_S, reply.wait_ms / 1000.0)
+
+
 def _record_failure(front, entry, exc):
     until = time.monotonic() + GRANTOR_RETRY_S
     front.failed_grantors[entry.instance_id] = until
@@ -163,12 +173,12 @@
         PeerError: There is no usable reply.
     """
     limit = backend.limit
-    age_s = time.monotonic() - limit.observed_at
+    age_ms = _age_ms(limit, time.monotonic())
     query = {
         "server": backend.entry.server_id,
         "started": backend.entry.started_ms,
         "limit": "" if limit.per_s is None else f"{limit.per_s:f}",
-        "age_ms": int(age_s * 1000.0),
+        "age_ms": int(age_ms),
         "take": int(take),
     }
     address = (entry.host, entry.peer_port)
@@ -196,6 +206,10 @@
     return reply.ok
 
 
+def _age_ms(limit, now):
+    return min(MAX_AGE_MS, max(0.0, (now - limit.observed_at) * 1000.0))
+
+
 async def _tell(front, backend, peers):
     """Tells other instances what is known of a server's limit."""
     peers = [e for e in peers if e.instance_id != front.cfg.instance_id]
@@ -228,18 +242,20 @@
     started = query.get("started", "")
     age_ms = httpcall.parse_count(query.get("age_ms", ""))
     per_s = httpcall.parse_decimal(query.get("limit", ""))
-    if age_ms is None or (query.get("limit") and per_s is None):
+    is_limit = per_s is not None and per_s <= serverlimits.MAX_LIMIT_PER_S
+    if age_ms is None or (query.get("limit") and not is_limit):
         detail = "limit or age_ms is malformed"
         return problem_response(Fault(ResultCode.BAD_REQUEST, detail))
     if backend is None or str(backend.entry.started_ms) != started:
         return _encode_reply(GrantReply(coordinates=False))
     now = time.monotonic()
-    _observe(front, backend, per_s, now - age_ms / 1000.0, "peer")
+    observed_at = now - min(age_ms, MAX_AGE_MS) / 1000.0
+    _observe(front, backend, per_s, observed_at, "peer")
     rank = _own_rank(front, backend)
     reply = GrantReply(
         coordinates=rank is not None,
         per_s=-1.0 if backend.limit.per_s is None else backend.limit.per_s,
-        age_ms=(now - backend.limit.observed_at) * 1000.0,
+        age_ms=_age_ms(backend.limit, now),
     )
     if rank is not None and query.get("take") == "1":
         wait_s = 0.0
--- a/packages/front/src/flamingolift_front/tests/test_odd_peers.py
+++ b/packages/front/src/flamingolift_front/tests/test_odd_peers.py
@@ -3,12 +3,16 @@
 import asyncio
 import contextlib
 import math
+import time
+import urllib.parse
 
 import hypothesis.strategies as st
 import msgpack
 import pytest
+from flamingolift_decisions import serverlimits
 from flamingolift_decisions.storeposition import MAX_ERA, make_position
-from flamingolift_front import peerlink, peersync, viewsource
+from flamingolift_front import limitgrants, peerlink, peersync, viewsource
+from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.viewupdates import decode_update, encode_update
 from flamingolift_model import to_plain
 from flamingolift_model.plan import BackendEntry
@@ -179,3 +183,99 @@
 def test_any_bytes_are_refused_as_an_update(data):
     with contextlib.suppress(*MALFORMED):
         decode_update(data, 10)
+
+
+async def start_grantor(reply):
+    """Returns a server that gives one reply to each question, and its port."""
+    body = msgpack.packb(reply)
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                writer.write(head + body)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, server.sockets[0].getsockname()[1]
+
+
+def limited_front(new_front, change, port=2):
+    documents = {"servers/i-1": SERVER, "instances/front-1": make_entry(1, port)}
+    front = new_front([change(key, doc, 1) for key, doc in documents.items()])
+    backend = front.view.backends.backends["i-1"]
+    backend.limit = serverlimits.ServerLimit(5.0, time.monotonic())
+    return front, backend
+
+
+REPLIES = {"coordinates": True, "granted": False, "wait_ms": 5.0, "per_s": 4.0}
+REPLIES["age_ms"] = 0.0
+
+
+# Guards against a reply after which each question is malformed, or a server is withheld
+# for ever.
+@function_fixture
+@given(st.sampled_from(list(REPLIES)), VALUES)
+@example("per_s", 1e300)
+@example("age_ms", 1e300)
+@example("wait_ms", 1e300)
+async def test_any_reply_of_a_grantor_leaves_the_server_usable(
+    new_front, change, name, value
+):
+    server, port = await start_grantor(REPLIES | {name: value})
+    front, backend = limited_front(new_front, change, port)
+    entry = front.view.instances["front-1"]
+    source, wait_s = await limitgrants._ask_grantors(front, backend)
+    assert source in ("front-1", "")
+    assert 0.0 <= wait_s <= limitgrants.MAX_GRANT_WAIT_S
+    query = {}
+    original = peerlink.open_get
+
+    def record(link, target):
+        query.update(urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query))
+        return original(link, target)
+
+    with pytest.MonkeyPatch.context() as patch, contextlib.suppress(peerlink.PeerError):
+        patch.setattr(peerlink, "open_get", record)
+        await limitgrants._ask(front, entry, backend, take=False)
+    other, _backend = limited_front(new_front, change)
+    assert (await limitgrants.serve_grant(other, query)).status == 200
+    server.close()
+    for idle in front.grant_links.values():
+        for link in idle:
+            peerlink.close_link(link)
+
+
+# Guards against a question that raises, or that makes the reply malformed.
+@function_fixture
+@given(
+    st.dictionaries(
+        st.sampled_from(["server", "started", "limit", "age_ms", "take"]),
+        st.text(max_size=6)
+        | st.sampled_from(["i-1", "5", "1", "9" * 18, "9" * 5000, "1e9", "9" * 15])
+        | st.sampled_from(["٣", "-1", "nan", "inf", "\ud800", "0.5"]),
+    )
+)
+async def test_any_question_for_a_grant_is_answered(new_front, change, query):
+    front, backend = limited_front(new_front, change)
+    for question in (query, {"server": "i-1", "started": "5", "age_ms": "0"} | query):
+        response = await limitgrants.serve_grant(front, question)
+        assert response.status in (200, 400)
+        assert 0.0 <= (backend.limit.per_s or 0.0) <= serverlimits.MAX_LIMIT_PER_S
+        if response.status == 200:
+            reply = msgpack.unpackb(response.body)
+            assert reply["per_s"] <= serverlimits.MAX_LIMIT_PER_S
+            assert reply["age_ms"] <= limitgrants.MAX_AGE_MS
+
+
+# Guards against targets that end the connection without a response.
+@function_fixture
+@given(st.text(max_size=12))
+@example("//[")
+@example("/view?after=٣&wait_ms=" + "9" * 5000)
+@example("/view?after=" + "9" * 18 + "&max_bytes=" + "9" * 18)
+async def test_any_target_is_answered(new_front, target):
+    front = new_front()
+    for prefix in ("", "/view?after=", "/grant?", "/grant?server=i-1&age_ms="):
+        response = await handle_internal(front, prefix + target)
+        assert response.status in (200, 400, 404)
--- a/packages/model/src/flamingolift_model/grants.py
+++ b/packages/model/src/flamingolift_model/grants.py
@@ -26,8 +26,8 @@
         Field("coordinates", "bool"),
         Field("granted", "bool", default=False),
         Field("wait_ms", "float", default=0.0, min=0.0),
-        Field("per_s", "float", default=-1.0, min=-1.0),
-        Field("age_ms", "float", default=-1.0, min=-1.0),
+        Field("per_s", "float", default=-1.0, min=-1.0, max=1000000.0),
+        Field("age_ms", "float", default=-1.0, min=-1.0, max=1000000000000.0),
     )
 
     def __init__(
