--- a/packages/cli/src/flamingolift_cli/policycommands.py
+++ b/packages/cli/src/flamingolift_cli/policycommands.py
@@ -278,9 +278,15 @@
     ]
     lines = []
     for row in rows:
-        accepted_time = datetime.datetime.fromtimestamp(
-            row["accepted_at"], datetime.UTC
-        )
-        timestamp = accepted_time.isoformat(timespec="seconds")
+        timestamp = _timestamp(row["accepted_at"])
         lines.append(f"{row['number']}  {timestamp}  {row['author']}  {row['summary']}")
     return Report(lines or ["no change was applied yet"], {"history": rows})
+
+
+def _timestamp(at):
+    """Returns a time (s since the epoch) as text, "unknown" for one out of range."""
+    try:
+        accepted_time = datetime.datetime.fromtimestamp(at, datetime.UTC)
+    except (OverflowError, ValueError, OSError):
+        return "unknown"
+    return accepted_time.isoformat(timespec="seconds")
--- a/packages/wire/src/flamingolift_wire/policytext.py
+++ b/packages/wire/src/flamingolift_wire/policytext.py
@@ -43,12 +43,13 @@
     Returns:
         Ok with the Policy, or Error with the list of all TextFaults.
     """
-    if len(text.encode()) > MAX_POLICY_BYTES:
+    if len(text.encode(errors="replace")) > MAX_POLICY_BYTES:
         detail = f"the document exceeds {MAX_POLICY_BYTES} bytes"
         return Error([TextFault(1, Fault(ResultCode.TOO_LARGE, detail))])
     try:
         plain = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as exc:
+    except (ValueError, RecursionError) as exc:
+        # `int` and the date types raise a plain ValueError.
         found = _SYNTAX_LINE.search(str(exc))
         line = int(found.group(1)) if found else text.count("\n") + 1
         return Error([TextFault(line, Fault(ResultCode.POLICY_SYNTAX, str(exc)))])
--- a/packages/wire/src/flamingolift_wire/tests/test_policytext.py
+++ b/packages/wire/src/flamingolift_wire/tests/test_policytext.py
@@ -1,10 +1,15 @@
 """Shipped policies are valid; each fault in a policy has its line and code."""
 
 import pathlib
+import re
 
+import hypothesis.strategies as st
 import pytest
 from flamingolift_decisions.policyrules import compile_policy, rules_for
+from flamingolift_model.policy import Policy
+from flamingolift_wire.codec import decode_document, encode_document
 from flamingolift_wire.policytext import parse_policy
+from hypothesis import example, given
 
 POLICIES = pathlib.Path(__file__).parents[5] / "policies"
 RAIL = (POLICIES / "rail.toml").read_text()
@@ -81,3 +86,32 @@
 def test_all_faults_are_reported_at_once():
     text = RAIL.replace("cap = 0.10", "cap = 9.0").replace("slots = 6", "slots = 0")
     assert len(faults_of(text)) == 2
+
+
+FIGURE = st.sampled_from(
+    ["9" * 5000, "0x" + "f" * 5000, "1e999", "nan", "-inf", "-1", str(2**64), "0b1"]
+)
+WORDS = FIGURE | st.sampled_from(
+    [
+        *("[" * 3000, "{ a = " * 3000, "2026-99-99", "99:99:99", '"\\ud800"'),
+        *('"\ud800"', "true", "''", "[]", "{}", "[[]]", '"٣"', "\x00"),
+    ]
+)
+VALUE = re.compile(r"= *([^\n{\[]+)")
+
+
+# Guards against a policy file that ends the command which should report its faults.
+@given(st.integers(0, len(VALUE.findall(RAIL)) - 1), WORDS | st.text(max_size=12))
+@example(0, "9" * 5000)
+@example(0, "0x" + "f" * 5000)
+@example(1, "[" * 3000)
+@example(1, '"\ud800"')
+def test_any_value_in_a_policy_gives_the_policy_or_faults(place, word):
+    match = list(VALUE.finditer(RAIL))[place]
+    text = RAIL[: match.start(1)] + word + RAIL[match.end(1) :]
+    for document in (text, word, RAIL + word):
+        read = parse_policy(document)
+        if read.is_ok():
+            assert decode_document(Policy, encode_document(read.ok)).ok == read.ok
+        else:
+            assert all(f.line >= 1 and f.fault.detail for f in read.error)
