Fail calls on the store whose answers cannot be read

Cause: an answer of the store of the product's own interface without a revision, or with a list that is cut short or holds odd bytes, raised KeyError or ValueError in the task or the command that made the call, though each call promises a Result. Class: foreign bytes meet a parser outside the check of the call.

Such an answer is STORE_UNAVAILABLE now, like a call without an answer.

--- a/packages/wire/src/flamingolift_wire/storeclient.py
+++ b/packages/wire/src/flamingolift_wire/storeclient.py
@@ -60,6 +60,14 @@
     return Error(Fault(ResultCode.STORE_UNAVAILABLE, f"{type(exc).__name__}: {exc}"))
 
 
+def _parsed(parse) -> Result:
+    """Returns Ok with the result of a parser, or Error for an answer it cannot read."""
+    try:
+        return Ok(parse())
+    except (KeyError, ValueError) as exc:
+        return _unavailable(exc)
+
+
 async def _call(store, method, path, *, wait_s=0.0, **options) -> Result:
     """Makes one call.
 
@@ -98,7 +106,7 @@
     status, headers, body = done.ok
     if status == 404:
         return Ok(StoredValue(key, 0, None))
-    return Ok(StoredValue(key, int(headers["Revision"]), body))
+    return _parsed(lambda: StoredValue(key, int(headers["Revision"]), body))
 
 
 async def put_value(store, key, body, revision, lease_id=None) -> Result:
@@ -128,13 +136,13 @@
     status, headers, _ = done.ok
     if status != 200:
         return Error(Fault(ResultCode.STORE_CONFLICT, f"{key}: status {status}"))
-    return Ok(int(headers["Revision"]))
+    return _parsed(lambda: int(headers["Revision"]))
 
 
 async def list_values(store, prefix) -> Result:
     """Reads all keys with a prefix; Ok holds a list of StoredValue."""
     done = await _call(store, "GET", "/list", params={"prefix": prefix})
-    return done.map(lambda parts: _parse_values(parts[2])[1])
+    return done.bind(lambda parts: _parsed(lambda: _parse_values(parts[2])[1]))
 
 
 async def watch_prefix(store, prefix, after) -> Result:
@@ -151,7 +159,7 @@
     """
     params = {"prefix": prefix, "after": str(after), "wait": str(WATCH_WAIT_S)}
     done = await _call(store, "GET", "/watch", wait_s=WATCH_WAIT_S, params=params)
-    return done.map(lambda parts: _parse_values(parts[2]))
+    return done.bind(lambda parts: _parsed(lambda: _parse_values(parts[2])))
 
 
 def _parse_values(body):
@@ -186,7 +194,7 @@
 async def create_lease(store, ttl_s) -> Result:
     """Creates a lease; Ok holds its id."""
     done = await _call(store, "POST", "/leases", params={"ttl_s": str(ttl_s)})
-    return done.map(lambda parts: parts[2].decode())
+    return done.bind(lambda parts: _parsed(parts[2].decode))
 
 
 async def renew_lease(store, lease_id) -> Result:
