--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -36,6 +36,8 @@
 """Result of a check that found faults."""
 
 
+# The address of an entry is checked again with each of its reports.
+@functools.lru_cache(maxsize=8192)
 def _is_address(text):
     """Returns whether a text is a numeric IP address without a zone."""
     try:
