--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -5,7 +5,6 @@
 
 import copy
 import functools
-import ipaddress
 import math
 import re
 import sys
@@ -13,6 +12,14 @@
 from expression import Error, Ok, Result
 
 from flamingolift_model.codes import ResultCode
+from flamingolift_model.encodable import (
+    FORMATS,
+    MAX_INT,
+    MAX_UNKNOWN_DEPTH,
+    MIN_INT,
+    is_encodable,
+    is_utf8,
+)
 from flamingolift_model.record import MISSING, Fault, Field, Record
 
 __all__ = ["from_plain", "to_plain"]
@@ -20,55 +27,16 @@
 MAX_UNKNOWN_FIELDS = 32
 """Limit on the unknown fields that one record carries."""
 MAX_DEPTH = 8
-MIN_INT = -(2**63)
-MAX_INT = 2**64 - 1
-"""Largest integer that can be encoded; the smallest is `MIN_INT`."""
-MAX_UNKNOWN_DEPTH = 32
-"""Limit on the nesting of an unknown field's value, which has to be encoded again."""
 
 _SCALARS = {"int": int, "float": (int, float), "str": str, "bool": bool, "bytes": bytes}
 # Types that decoders return; a subclass of one is accepted as well.
 _USUAL_TYPES = {"int": int, "float": float, "str": str, "bool": bool, "bytes": bytes}
-_PLAIN_SCALARS = (*_USUAL_TYPES.values(), type(None))
-_SCALAR_TYPES = frozenset(_PLAIN_SCALARS)
+_SCALAR_TYPES = frozenset((*_USUAL_TYPES.values(), type(None)))
 _CONTAINER = re.compile(r"^(list|map)\[(.+)\]$")
 _INVALID = object()
 """Result of a check that found faults."""
 
 
-# The address of an entry is checked again with each of its reports.
-@functools.lru_cache(maxsize=8192)
-def _is_address(text):
-    """Returns whether a text is a numeric IP address without a zone."""
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return "%" not in text
-
-
-def _is_line(text):
-    """Returns whether a text can be the value of a header field."""
-    return text.isprintable() and text == text.strip()
-
-
-def _is_utf8(value):
-    """Returns whether a value is text without lone surrogates, so that it encodes."""
-    if not isinstance(value, str):
-        return False
-    try:
-        return value.isascii() or bool(value.encode())
-    except UnicodeEncodeError:
-        return False
-
-
-FORMATS = {
-    "address": (_is_address, "must be a numeric IP address"),
-    "line": (_is_line, "must be printable, without spaces at its ends"),
-}
-"""Map of a string's form in the schema to its check and the text of its fault."""
-
-
 def to_plain(record):
     """Converts a record to plain values.
 
@@ -234,23 +202,11 @@
         found.append(("", "has too many unknown fields"))
     else:
         for name, item in unknown.items():
-            if not _is_encodable([name, item], MAX_UNKNOWN_DEPTH + 1):
+            if not is_encodable([name, item], MAX_UNKNOWN_DEPTH + 1):
                 found.append((f".{name}", "cannot be encoded again"))
     return unknown
 
 
-def _is_encodable(value, levels):
-    """Returns whether a value of an unknown field can be encoded and decoded again."""
-    if isinstance(value, (list, dict)):
-        parts = value if isinstance(value, list) else [*value, *value.values()]
-        return levels > 0 and all(_is_encodable(part, levels - 1) for part in parts)
-    if isinstance(value, str):
-        return _is_utf8(value)
-    if isinstance(value, int):
-        return MIN_INT <= value <= MAX_INT
-    return isinstance(value, _PLAIN_SCALARS)
-
-
 def _make_check(cls, field, type_name):
     container = _CONTAINER.match(type_name)
     if container:
@@ -310,7 +266,7 @@
         items = {}
         for key, item in value.items():
             item = check_item(item, found, strict, depth + 1)
-            if item is not _INVALID and not _is_utf8(key):
+            if item is not _INVALID and not is_utf8(key):
                 found.append(("", "must be named by Unicode text"))
                 item = _INVALID
             if item is _INVALID:
@@ -387,7 +343,7 @@
     if type_name in ("str", "bytes"):
         if not low <= len(value) <= high:
             return _add_range_fault(field, len(value), "has length {}", found)
-        if type_name == "str" and not _is_utf8(value):
+        if type_name == "str" and not is_utf8(value):
             found.append(("", "must be Unicode text"))
             return _INVALID
         if field.format:
--- a/packages/model/src/flamingolift_model/record.py
+++ b/packages/model/src/flamingolift_model/record.py
@@ -61,7 +61,7 @@
             None for no bound.
         max: Largest value or length; None for no bound.
         enum: Allowed values; empty for any.
-        format: Name of the form that a string must have (`conversion.FORMATS`); empty
+        format: Name of the form that a string must have (`encodable.FORMATS`); empty
             for any.
         optional: Whether None is allowed.
         secret: Whether the value is left out of `repr`.
--- a/packages/model/src/flamingolift_model/tests/test_conversion.py
+++ b/packages/model/src/flamingolift_model/tests/test_conversion.py
@@ -11,12 +11,8 @@
 import msgpack
 import pytest
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
-from flamingolift_model.conversion import (
-    MAX_DEPTH,
-    MAX_INT,
-    MAX_UNKNOWN_FIELDS,
-    MIN_INT,
-)
+from flamingolift_model.conversion import MAX_DEPTH, MAX_UNKNOWN_FIELDS
+from flamingolift_model.encodable import MAX_INT, MIN_INT
 from flamingolift_model.record import MISSING, Field, Record
 from hypothesis import given, settings
 
--- a/packages/model/src/flamingolift_model/tests/test_encodable.py
+++ b/packages/model/src/flamingolift_model/tests/test_encodable.py
@@ -3,14 +3,14 @@
 import msgpack
 import pytest
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
-from flamingolift_model.conversion import MAX_INT, MAX_UNKNOWN_DEPTH
+from flamingolift_model.encodable import MAX_INT, MAX_UNKNOWN_DEPTH
 from flamingolift_model.plan import ServiceLoad
 from flamingolift_model.routing import ServiceSpec, WeightedService
 
 GOOD = {"service": "maps", "weight": 1.0}
 
 
-# Guards against a value that decodes but exceeds the depth of every encoder.
+# Guards against a value that decodes but exceeds the depth of some encoder.
 def test_unknown_field_that_is_nested_too_deeply_is_a_fault():
     inner = 0
     for _ in range(MAX_UNKNOWN_DEPTH):
