--- a/packages/model/src/flamingolift_model/conversion.py
+++ b/packages/model/src/flamingolift_model/conversion.py
@@ -12,6 +12,14 @@
 from expression import Error, Ok, Result
 
 from flamingolift_model.codes import ResultCode
+from flamingolift_model.encodable import (
+    FORMATS,
+    MAX_INT,
+    MAX_UNKNOWN_DEPTH,
+    MIN_INT,
+    is_encodable,
+    is_utf8,
+)
 from flamingolift_model.record import MISSING, Fault, Field, Record
 
 __all__ = ["from_plain", "to_plain"]
@@ -134,6 +142,7 @@
                 # Most fields are usual scalars; a call for each would cost more.
                 if type(item) is not usual_type or not (
                     low <= (len(item) if sized else item) <= high
+                    and (usual_type is not str or item.isascii())
                 ):
                     item = check(item, found, strict, depth + 1)
             else:
@@ -156,7 +165,7 @@
     return tuple(
         (
             field.name,
-            None if field.enum else _USUAL_TYPES.get(field.type),
+            None if field.enum or field.format else _USUAL_TYPES.get(field.type),
             field.type in ("str", "bytes"),
             *_bounds(field, field.type),
             _make_check(cls, field, field.type),
@@ -191,6 +200,10 @@
         found.extend((f".{name}", "is not a known field") for name in unknown)
     elif len(unknown) > MAX_UNKNOWN_FIELDS:
         found.append(("", "has too many unknown fields"))
+    else:
+        for name, item in unknown.items():
+            if not is_encodable([name, item], MAX_UNKNOWN_DEPTH + 1):
+                found.append((f".{name}", "cannot be encoded again"))
     return unknown
 
 
@@ -253,6 +266,9 @@
         items = {}
         for key, item in value.items():
             item = check_item(item, found, strict, depth + 1)
+            if item is not _INVALID and not is_utf8(key):
+                found.append(("", "must be named by Unicode text"))
+                item = _INVALID
             if item is _INVALID:
                 end = _prepend_step(found, end, f".{key}")
             items[key] = item
@@ -275,11 +291,12 @@
         return _check_scalar(field, type_name, value, found)
 
     def check_length(value, found, strict, depth):
-        if type(value) is usual_type and low <= len(value) <= high:
+        is_usual = type(value) is usual_type and low <= len(value) <= high
+        if is_usual and (usual_type is bytes or value.isascii()):
             return value
         return _check_scalar(field, type_name, value, found)
 
-    if field.enum:
+    if field.enum or field.format:
         return check_any
     return check_length if type_name in ("str", "bytes") else check_number
 
@@ -287,9 +304,13 @@
 def _bounds(field, type_name):
     if type_name == "bool":
         return False, True
-    limit = sys.float_info.max if type_name == "float" else math.inf
-    low = -limit if field.min is None else max(field.min, -limit)
-    return low, limit if field.max is None else min(field.max, limit)
+    low, high = -math.inf, math.inf
+    if type_name == "float":
+        low, high = -sys.float_info.max, sys.float_info.max
+    elif type_name == "int":
+        low, high = MIN_INT, MAX_INT
+    low = low if field.min is None else max(field.min, low)
+    return low, high if field.max is None else min(field.max, high)
 
 
 def _to_float(value):
@@ -314,10 +335,22 @@
         if not math.isfinite(value):
             found.append(("", "must be a finite number"))
             return _INVALID
+    elif type_name == "int" and not MIN_INT <= value <= MAX_INT:
+        # Its digits are left out: Python limits the length of integers in text.
+        found.append(("", "must fit in 64 bits"))
+        return _INVALID
     low, high = _bounds(field, type_name)
     if type_name in ("str", "bytes"):
         if not low <= len(value) <= high:
             return _add_range_fault(field, len(value), "has length {}", found)
+        if type_name == "str" and not is_utf8(value):
+            found.append(("", "must be Unicode text"))
+            return _INVALID
+        if field.format:
+            has_format, text = FORMATS[field.format]
+            if not has_format(value):
+                found.append(("", text))
+                return _INVALID
     elif not low <= value <= high:
         return _add_range_fault(field, value, "is {}", found)
     return value
