--- a/spec/test_specs.py
+++ b/spec/test_specs.py
@@ -10,16 +10,22 @@
 SPEC_FOLDER = pathlib.Path(__file__).parent
 SEARCH_DEPTH = 200_000
 
-SPECIFICATIONS = ["shift", "booking", "config"]
+SPECIFICATIONS = ["shift", "booking", "config", "handover"]
 BROKEN_VARIANTS = [
     ("shift", ["-DNOGUARD"]),
     ("shift", ["-DNOGUARD", "-DBROKEN"]),
     ("booking", ["-DBROKEN"]),
     ("config", ["-DBROKEN"]),
+    ("handover", ["-DHAND_ON_AGAIN"]),
+    ("handover", ["-DRESEND_AFTER_LOST_HOP"]),
+    ("handover", ["-DREFUSE_AFTER_LOST_HOP"]),
+    ("handover", ["-DHAND_ON_AFTER_UNKNOWN"]),
 ]
+# Specifications without endless processes, of which every execution has to end.
+FINITE_SPECIFICATIONS = ["handover"]
 
 
-def run_checker(name, defines, folder):
+def run_checker(name, defines, folder, finds_cycles=False):
     """Runs spin; returns (errors, states, whether the search was complete, output)."""
     assert shutil.which("spin"), "spin is missing; `make test` installs it"
     subprocess.run(
@@ -32,7 +38,7 @@
         "cc",
         "-w",
         "-O2",
-        "-DSAFETY",
+        "-DNP" if finds_cycles else "-DSAFETY",
         "-DCOLLAPSE",
         "-o",
         "pan",
@@ -40,7 +46,7 @@
     ]
     subprocess.run(compile_command, cwd=folder, check=True, capture_output=True)
     done = subprocess.run(
-        ["./pan", f"-m{SEARCH_DEPTH}", "-w24"],
+        ["./pan", *(["-l"] if finds_cycles else []), f"-m{SEARCH_DEPTH}", "-w24"],
         cwd=folder,
         capture_output=True,
         text=True,
@@ -60,6 +66,14 @@
     assert complete, output
 
 
+# Without a progress label in the specification, every cycle is one without progress.
+@pytest.mark.parametrize("name", FINITE_SPECIFICATIONS)
+def test_every_execution_ends(name, tmp_path):
+    errors, _, complete, output = run_checker(name, [], tmp_path, finds_cycles=True)
+    assert errors == 0, output
+    assert complete, output
+
+
 @pytest.mark.parametrize(("name", "defines"), BROKEN_VARIANTS)
 def test_broken_variant_is_rejected(name, defines, tmp_path):
     errors, _, _, output = run_checker(name, defines, tmp_path)
