Share the constants of the two simulations of cuts

The number of failed connects and the interval of probes stood in both modules, so that a change of one would have made their figures differ. The crash simulation now takes them from the fleet simulation, and constants without a unit got one.

--- a/standins/src/flamingolift_standins/crashsimulation.py
+++ b/standins/src/flamingolift_standins/crashsimulation.py
@@ -9,14 +9,16 @@
 from flamingolift_decisions import backends, serverpaths
 from flamingolift_decisions.serverpaths import ServerPaths
 
+from flamingolift_standins.cutoffsimulation import (
+    MAX_CONNECT_FAILURES,
+    PROBE_INTERVAL_S,
+)
+
 __all__ = ["CrashResult", "CrashWorkload", "simulate_crash"]
 
 SERVICE = "listings"
 SECONDS = 10.0
 """Time until the live list no longer shows the crashed servers (s)."""
-MAX_CONNECT_FAILURES = 3
-"""Failed connects after which a request tries no further server."""
-PROBE_INTERVAL_S = 0.3
 CONNECT_S = 0.002
 """Time of a connect or of its refusal (s)."""
 
--- a/standins/src/flamingolift_standins/cutoffsimulation.py
+++ b/standins/src/flamingolift_standins/cutoffsimulation.py
@@ -13,7 +13,12 @@
 
 from flamingolift_standins.cutoffworkload import STRATEGIES, CutResult
 
-__all__ = ["RATE_PER_INSTANCE", "simulate_cut"]
+__all__ = [
+    "MAX_CONNECT_FAILURES",
+    "PROBE_INTERVAL_S",
+    "RATE_PER_INSTANCE",
+    "simulate_cut",
+]
 
 SERVERS = {"listings": 16, "booking": 12, "maps": 12, "rows": 12}
 WEIGHTS = {"listings": 0.5, "booking": 0.15, "maps": 0.1, "rows": 0.25}
@@ -35,14 +40,19 @@
 MAX_CONNECT_FAILURES = 3
 """Failed connects after which a request tries no further server."""
 PROBE_INTERVAL_S = 0.3
+"""Interval of the probe connects of an instance that is cut off (s)."""
 PEER_INTERVAL_S = 1.0
 """Interval at which instances learn what the others are cut off from (s)."""
 DEADLINE_S = 2.0
+"""Time after which an answer is of no use to a caller (s)."""
 MEAN_WORK_S = 0.08
+"""Mean processing time of a request (s)."""
 IN_REGION_DELAY_S = 0.001
+"""One-way network delay within a region (s)."""
 CROSS_REGION_DELAY_S = 0.02
+"""One-way network delay between regions (s)."""
 HOP_BYTES = 7_000
-"""Mean size of a request and its answer on a hop."""
+"""Mean size of a request and its answer on a hop (bytes)."""
 
 
 class CutInstance:
