Keep the pace of cold servers when a suspension is lifted

Backend servers would have seen a burst: when a cut is found, the suspensions that it caused are lifted, and with them the pause of a cold server's next request, on all instances at about the same time. Cause: the pause was cleared whether the server was cold or not. A cold server's next request now has a new pause of the instance's share.

test_serverpaths.py: the new test failed before, with a next request at once, and passes now.

--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -17,6 +17,7 @@
     "apply_entry",
     "eligible_backends",
     "end_evacuation",
+    "end_suspension",
     "is_cold",
     "is_in_use",
     "is_withheld",
@@ -358,6 +359,25 @@
     return pause
 
 
+def end_suspension(view, backend, now):
+    """Ends a suspension for failures that were not the server's.
+
+    Args:
+        view: BackendView.
+        backend: Backend.
+        now: Current time (s, monotonic).
+
+    Notes:
+        A server that is cold gets its next request after a new pause: after a cut, all
+        instances end their suspensions at about the same time.
+    """
+    backend.suspended_until = backend.trial_until = -math.inf
+    backend.failures = 0
+    backend.next_cold_request_at = -math.inf
+    if is_cold(backend, now):
+        backend.next_cold_request_at = now + _cold_request_pause(view, backend)
+
+
 def record_lost_answer(view, backend, now):
     """Records that the answer to a request was lost.
 
--- a/packages/decisions/src/flamingolift_decisions/serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/serverpaths.py
@@ -9,6 +9,8 @@
 
 from expression import Nothing, Option, Some
 
+from flamingolift_decisions.backends import end_suspension
+
 __all__ = [
     "ServerPaths",
     "cut_off_services",
@@ -121,16 +123,15 @@
     return sorted(paths.cut_off_at)
 
 
-def lift_suspensions(view, server_ids):
+def lift_suspensions(view, server_ids, now):
     """Ends the suspensions of servers whose failures were not their own.
 
     Args:
         view: BackendView.
         server_ids: Ids of the servers; those that are not known are ignored.
+        now: Current time (s, monotonic).
     """
     for server_id in server_ids:
         backend = view.backends.get(server_id)
         if backend is not None:
-            backend.suspended_until = backend.trial_until = -math.inf
-            backend.next_cold_request_at = -math.inf
-            backend.failures = 0
+            end_suspension(view, backend, now)
--- a/packages/decisions/src/flamingolift_decisions/tests/test_serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_serverpaths.py
@@ -1,6 +1,9 @@
 """Whether an instance is cut off from the backend servers."""
 
-from flamingolift_decisions import serverpaths
+import random
+
+from flamingolift_decisions import backends, serverpaths
+from flamingolift_decisions.backends import BackendView
 from flamingolift_decisions.serverpaths import (
     ServerPaths,
     cut_off_services,
@@ -8,6 +11,7 @@
     record_reached,
     record_unreached,
 )
+from flamingolift_model.plan import BackendEntry
 
 SERVICES = ("maps", "reads", "rows")
 
@@ -72,3 +76,37 @@
     assert record_reached(paths, "maps", 6.0).value == 5.0
     assert not is_cut_off(paths, "maps")
     assert record_reached(paths, "maps", 6.0).is_none()
+
+
+def make_view(cold_ms):
+    view = BackendView(random.Random(4))
+    view.instances = 20
+    entry = BackendEntry(
+        server_id="maps-1",
+        service="maps",
+        region="upland",
+        failure_domain="north",
+        host="10.0.0.1",
+        port=80,
+        cold_ms=cold_ms,
+    )
+    backends.apply_entry(view, entry, 0.0)
+    return view, view.backends["maps-1"]
+
+
+# Guards against a burst on a cold server: all instances find the end of a cut together.
+def test_cold_server_keeps_its_pace_when_its_suspension_is_lifted():
+    view, backend = make_view(cold_ms=60000.0)
+    backends.suspend_backend(view, backend, 1.0)
+    serverpaths.lift_suspensions(view, ["maps-1", "unknown"], 1.1)
+    share_s = view.instances / backends.DEFAULT_COLD_RATE_PER_S
+    assert backend.suspended_until < 1.1
+    assert backend.next_cold_request_at > 1.1 + share_s / 2.0
+
+
+def test_warm_server_is_in_use_at_once_when_its_suspension_is_lifted():
+    view, backend = make_view(cold_ms=0.0)
+    backends.suspend_backend(view, backend, 1.0)
+    serverpaths.lift_suspensions(view, ["maps-1"], 1.1)
+    assert backends.is_in_use(view, backend, 1.1)
+    assert not backends.is_cold(backend, 1.1)
--- a/packages/front/src/flamingolift_front/pathrecords.py
+++ b/packages/front/src/flamingolift_front/pathrecords.py
@@ -99,7 +99,7 @@
             for service in services
             for server_id, at in paths.unreached.get(service, {}).items()
         }
-        serverpaths.lift_suspensions(view, failed)
+        serverpaths.lift_suspensions(view, failed, now)
         front.helpers.wake.set()
         log_event(
             front.log,
