Answer a request when another connection's error ends its handling

A ConnectionError from the instance's own code, while the caller's connection was sound, closed that connection without an answer and was logged as `caller_lost`. No such error is known on the path of a request today: the test raises one.

Cause: each ConnectionError in the connection's task was taken for the end of the caller's connection.

Evidence: the new test failed before, with "0 bytes read" in place of the refusal.

Only when the caller's connection is closing is the error taken for its end. All others are answered and logged as errors of the instance.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -106,19 +106,20 @@
         while await _serve_one(front, conn) and not conn.closing:
             conn.busy = False
             conn.parser.start_next_cycle()
-    except ConnectionError as exc:
-        cause = str(exc) or type(exc).__name__
-        log_event(front.log, "caller_lost", cause=cause)
     except asyncio.CancelledError:
         # The caller disconnected, or the instance is stopping.
         cause = "cancelled"
         codes = (ResultCode.DRAINING, ResultCode.BACKEND_FAILED)
         await _answer_unfinished(front, conn, codes, "the instance stopped")
     except Exception as exc:
-        cause = repr(exc)
-        log_event(front.log, "task_failed", task="caller", cause=cause)
-        codes = (ResultCode.INTERNAL_NOT_RUN, ResultCode.INTERNAL)
-        await _answer_unfinished(front, conn, codes, cause)
+        if isinstance(exc, ConnectionError) and conn.stream.transport.is_closing():
+            cause = str(exc) or type(exc).__name__
+            log_event(front.log, "caller_lost", cause=cause)
+        else:
+            cause = repr(exc)
+            log_event(front.log, "task_failed", task="caller", cause=cause)
+            codes = (ResultCode.INTERNAL_NOT_RUN, ResultCode.INTERNAL)
+            await _answer_unfinished(front, conn, codes, cause)
     finally:
         _record_end(front, conn, cause)
         await _close(front, conn)
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -156,6 +156,19 @@
         assert b"connection: close" in raw.lower()
 
 
+# Guards against an error of another connection that is taken for the end of the
+# caller's own.
+async def test_connection_error_in_the_instance_is_answered(monkeypatch):
+    def fail(*_args, **_kwargs):
+        raise ConnectionResetError
+
+    async with run_sound_site() as site, connect(site) as caller:
+        monkeypatch.setattr(forwarding.affinity, "pick_backend", fail)
+        send(caller, 1)
+        status, body = await read_answer(caller)
+        assert status == 503 and b"not-run" in body
+
+
 def answer_with_two_framings(request_id):
     """Yields an answer above the size that is buffered, with both fields of framing."""
     yield head(request_id, CHUNKED, b"content-length: 7")
