Answer look-ups that arrive while the event loop is blocked past a timeout

A look-up on a kept connection to a control port, or another instance's question, that arrived while the event loop was blocked beyond the idle timeout found its connection closed without an answer.

Cause: one `asyncio.timeout` around the connection cancels its task in the turn in which the bytes arrive, as it did on callers' connections.

Evidence: the new test failed before, with "0 bytes read" in place of the answer.

`time_limit` bounds each request now, which gives what arrived its turn. An idle connection is closed as before, which a second test shows.

--- a/packages/front/src/flamingolift_front/lookups.py
+++ b/packages/front/src/flamingolift_front/lookups.py
@@ -1,6 +1,5 @@
 """Instance look-ups for callers, readiness, and the server of the control ports."""
 
-import asyncio
 import time
 
 import h11
@@ -11,6 +10,7 @@
 from flamingolift_front.frontmetrics import render_metrics
 from flamingolift_front.responses import text_response
 from flamingolift_front.state import live_instances
+from flamingolift_front.timelimit import time_limit
 
 __all__ = ["addresses_for", "is_ready", "serve_control", "serve_metrics"]
 
@@ -63,9 +63,8 @@
     """
     parser = h11.Connection(h11.SERVER)
     try:
-        async with asyncio.timeout(None) as timer:
-            while await _serve_request(front, stream, parser, handler, timer):
-                parser.start_next_cycle()
+        while await _serve_request_in_time(front, stream, parser, handler):
+            parser.start_next_cycle()
     except (TimeoutError, ConnectionError, h11.ProtocolError):
         # Control requests have no side effects, so the client can retry.
         front.metrics.requests.labels("control", "broken").inc()
@@ -73,8 +72,12 @@
         bytestream.close(stream)
 
 
-async def _serve_request(front, stream, parser, handler, timer):
-    timer.reschedule(asyncio.get_running_loop().time() + IDLE_TIMEOUT_S)
+async def _serve_request_in_time(front, stream, parser, handler):
+    async with time_limit(time.monotonic() + IDLE_TIMEOUT_S):
+        return await _serve_request(front, stream, parser, handler)
+
+
+async def _serve_request(front, stream, parser, handler):
     target = None
     while True:
         event = parser.next_event()
