Answer requests to control ports whose handler fails

A look-up, or another instance's question, whose handler raised an exception ended with its connection, without an answer.

Cause: the exception ended the connection's task, which was logged as a failed background task and closed the connection.

Evidence: the new test failed before, with "0 bytes read" in place of the status.

The failure is logged and answered with 500 INTERNAL, and the connection stays open. Other instances treat each status but 200 as a failed peer, as they did the closed connection.

--- a/packages/front/src/flamingolift_front/lookups.py
+++ b/packages/front/src/flamingolift_front/lookups.py
@@ -4,11 +4,12 @@
 
 import h11
 from flamingolift_decisions.hashing import rendezvous_order
+from flamingolift_model import Fault, ResultCode
 
 from flamingolift_front import bytestream
 from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
 from flamingolift_front.frontmetrics import render_metrics
-from flamingolift_front.responses import text_response
+from flamingolift_front.responses import problem_response, text_response
 from flamingolift_front.state import live_instances
 from flamingolift_front.timelimit import time_limit
 
@@ -89,7 +90,7 @@
             return False
         elif event is h11.NEED_DATA:
             parser.receive_data(await bytestream.read(stream))
-    response = await handler(front, target)
+    response = await _run_handler(front, handler, target)
     headers = [*response.headers, (b"Content-Length", str(len(response.body)).encode())]
     data = parser.send(h11.Response(status_code=response.status, headers=headers))
     data += parser.send(h11.Data(data=response.body))
@@ -108,6 +109,15 @@
     return parser.our_state is h11.DONE
 
 
+async def _run_handler(front, handler, target):
+    """Returns the handler's HttpResponse, or that of a failure."""
+    try:
+        return await handler(front, target)
+    except Exception as exc:
+        log_event(front.log, "task_failed", task="control", cause=repr(exc))
+        return problem_response(Fault(ResultCode.INTERNAL, "the handler failed"))
+
+
 async def serve_metrics(front, _target):
     """Returns the HttpResponse with the metrics."""
     return text_response(200, render_metrics(front))
--- a/packages/front/src/flamingolift_front/tests/test_control_ports.py
+++ b/packages/front/src/flamingolift_front/tests/test_control_ports.py
@@ -65,3 +65,15 @@
         assert await read_status(reader) == 200
         async with asyncio.timeout(WAIT_S):
             assert await reader.read() == b""
+
+
+# Guards against a failed handler that closes the connection without an answer.
+async def test_failed_handler_is_answered():
+    async def fail(_front, _target):
+        raise ZeroDivisionError
+
+    async with connect(fail) as (reader, writer):
+        for _request in range(2):
+            writer.write(REQUEST)
+            assert await read_status(reader) == 500
+            await reader.readuntil(b"}")
