Answer as a problem when a response cannot be encoded

Callers got the plain text 'Internal Server Error', without a result code and without the outcome of their request, when a response could not be encoded: for example a booking whose answer came from a home of an older release, which decoded header values in another way.

Cause: falcon encodes the head after its error handlers have run, so that the exception reached uvicorn.

Evidence: test_response_that_cannot_be_encoded_ends_as_a_problem failed before the change with 'content-type: text/plain'.

The wrapper of the callers' application now answers an exception that comes before the start of the response with 5900, whose outcome is unknown, and closes the connection. After the start, uvicorn closes it as before, and the caller sees that the response is cut.

--- a/packages/daemon/src/flamingolift_daemon/httpserver.py
+++ b/packages/daemon/src/flamingolift_daemon/httpserver.py
@@ -196,7 +196,7 @@
             return event
 
         try:
-            await app(scope, tracked_receive, send)
+            await _answer_errors(app, scope, tracked_receive, send)
         finally:
             if disconnect_watcher is not None:
                 disconnect_watcher.cancel()
@@ -204,6 +204,40 @@
     return tracked
 
 
+async def _answer_errors(app, scope, receive, send):
+    """Runs an application, and answers an exception before its response starts.
+
+    falcon's error handlers do not see an exception that encoding a response raises.
+    """
+    started = False
+
+    async def watched_send(event):
+        nonlocal started
+        started = True
+        await send(event)
+
+    try:
+        await app(scope, receive, watched_send)
+    except Exception as exc:
+        if started:
+            raise
+        logger.error("unexpected_exception", exc_info=exc)
+        fault = Fault(ResultCode.INTERNAL, type(exc).__name__)
+        body = problem_body(fault)
+        fields = [
+            ("content-type", MEDIA_TYPE),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+            *problem_headers(fault),
+        ]
+        headers = [(n.lower().encode(), v.encode()) for n, v in fields]
+        status = RESULT_CODE_INFO[fault.code].status
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
 async def _watch_disconnect(receive, gone):
     """Sets the event when the caller's connection is closed."""
     while True:
--- a/packages/daemon/src/flamingolift_daemon/tests/test_own_errors.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_own_errors.py
@@ -4,7 +4,9 @@
 import json
 
 import pytest
+from expression import Ok
 from flamingolift_daemon import bookinghome, callerapi, forwarding, slots
+from flamingolift_model import peer
 from localinstance import (
     WAIT_S,
     ask,
@@ -84,6 +86,25 @@
         await wait_until_idle(instance)
 
 
+# Guards against answers without a result code, when the response cannot be encoded.
+async def test_response_that_cannot_be_encoded_ends_as_a_problem(monkeypatch):
+    async def answer_oddly(*_args):
+        headers = [peer.Header(name="X-Odd", value="\u20ac")]
+        return Ok(peer.BookingAnswer(status=200, headers=headers, body=b"body"))
+
+    monkeypatch.setattr(callerapi, "route_booking", answer_oddly)
+    async with (
+        run_local_instance(SERVICES, [9]) as instance,
+        run_caller_listener(instance) as port,
+    ):
+        received = await ask_booking(port, await issue_key(port))
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert b"content-type: application/problem+json" in head
+        assert b"request-outcome: unknown" in head
+        assert json.loads(body)["outcome"] == "unknown"
+        await wait_until_idle(instance)
+
+
 # Guards against callers and resends that wait for a booking whose run has failed.
 @pytest.mark.parametrize(
     ("name", "fault"),
