Give up a request's place in the queue when its search for a slot raises

Other callers waited longer than needed: a request that had ended with an error in our own code while it asked another region kept its place in the queue of its own region, and a slot that was granted to it later stayed taken until it expired.

Cause: _acquire_once took back the acquisition in the own region only when it was cancelled.

Evidence: test_error_in_another_region_gives_up_the_place_in_the_queue failed before the change with 'assert not 1', the size of the queue after the answer.

Any exception now ends that acquisition, which returns what was granted meanwhile, as it does when a caller disconnects.

--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -180,7 +180,7 @@
             until = instance.clock.now() + REGION_BACKOFF_S
             instance.backoff_until[request.service, region] = until
         return _as_caller_fault(await asyncio.shield(own_acquisition))
-    except asyncio.CancelledError:
+    except BaseException:
         await _cancel_acquire(instance, own_acquisition)
         raise
 
--- a/packages/daemon/src/flamingolift_daemon/tests/test_waiters.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_waiters.py
@@ -62,6 +62,28 @@
         assert acquired.error.code is ResultCode.OVERLOADED
 
 
+# Guards against a place in the queue that outlives its request, and takes a slot.
+async def test_error_in_another_region_gives_up_the_place_in_the_queue(monkeypatch):
+    async def fail_elsewhere(instance, service, region, **options):
+        if region == REGION:
+            return await acquire_slot(instance, service, region, **options)
+        raise KeyError("a fault of the program")
+
+    async with (
+        run_local_instance(SERVICES, [9]) as instance,
+        run_caller_listener(instance) as port,
+    ):
+        await fill_pool(instance)
+        pool = instance.pools["maps", REGION]
+        pool.recovering_until = 0.0
+        await fill_pool(instance)
+        monkeypatch.setattr(forwarding, "acquire_slot", fail_elsewhere)
+        monkeypatch.setattr(forwarding, "regions_to_try", lambda *_args: [REGION, "v"])
+        answer = await ask(port, "/s/maps/x")
+        assert b"request-outcome: unknown" in answer
+        assert not pool.queue.size
+
+
 # Guards against dispatchers that hang one after the other beyond a request's deadline.
 @pytest.mark.parametrize("own_hangs", [True, False])
 async def test_request_is_refused_soon_after_its_deadline(monkeypatch, own_hangs):
