--- a/packages/daemon/src/flamingolift_daemon/forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/forwarding.py
@@ -17,9 +17,11 @@
     retire_connections,
     send_request,
 )
+from flamingolift_daemon.callerrequest import CallerRequest, ForwardedAnswer
 from flamingolift_daemon.metrics import count
 from flamingolift_daemon.peerlinks import PEER_BACKOFF_S
 from flamingolift_daemon.slots import acquire_slot, release_slot
+from flamingolift_daemon.waits import bounded_wait
 
 __all__ = [
     "CallerRequest",
@@ -49,78 +51,13 @@
 It exceeds `PEER_BACKOFF_S`, the back-off from a peer that was not yet listening."""
 NO_SERVERS_PAUSE_S = 0.1
 """Pause between these retries (s)."""
+ACQUIRE_SLACK_S = 0.2
+"""Time beyond a request's deadline for a refusal of its slot to arrive (s)."""
 _NOT_QUEUED = frozenset((ResultCode.NO_BACKEND, ResultCode.NOT_READY))
 REGION_BACKOFF_S = 0.05
 """Time for which a region that refused a request is not tried again (s)."""
 
 
-class CallerRequest:
-    """One caller's request, as it is forwarded to a backend server.
-
-    Attributes:
-        service: Service name.
-        rules: ServiceRules in force for the caller.
-        method: HTTP method.
-        target: Path and query, percent-encoded.
-        headers: List of end-to-end header fields (name, value).
-        body: Bytes, an asynchronous iterator of bytes, or None.
-        tenant: Tenant, for fair queueing.
-        fingerprint: Hash that identifies equal requests, for quarantine.
-        deadline: Time by which the answer's head must have arrived (s, monotonic).
-    """
-
-    __slots__ = (
-        "body",
-        "deadline",
-        "fingerprint",
-        "headers",
-        "method",
-        "rules",
-        "service",
-        "target",
-        "tenant",
-    )
-
-    def __init__(
-        self,
-        service,
-        rules,
-        method,
-        target,
-        headers,
-        body,
-        tenant,
-        fingerprint,
-        deadline,
-    ):
-        self.service = service
-        self.rules = rules
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.tenant = tenant
-        self.fingerprint = fingerprint
-        self.deadline = deadline
-
-
-class ForwardedAnswer:
-    """An answer whose body is still being read, with the slot that it occupies.
-
-    Attributes:
-        answer: BackendAnswer.
-        slot: Slot.
-        started_at: Time at which the request was sent (s, monotonic).
-    """
-
-    __slots__ = ("answer", "slot", "started_at")
-
-    def __init__(self, answer, slot, started_at):
-        self.answer = answer
-        self.slot = slot
-        self.started_at = started_at
-
-
 def get_retry_budget(instance, request):
     """Returns the retry budget of a service, with the policy's current ratio."""
     budget = instance.budgets.get(request.service)
@@ -161,6 +98,8 @@
     A dispatcher without a policy or backend servers refuses at once instead of
     queueing. Such a refusal is retried for up to `NO_SERVERS_RETRY_S`, because
     instances learn of the policy, the servers and each other within a short time.
+    The wait ends soon after the request's deadline, and when the instance runs out of
+    time to stop.
 
     Args:
         instance: Instance.
@@ -172,6 +111,19 @@
     Returns:
         Ok with a Slot, or Error with a Fault; on an error nothing was run.
     """
+    left_s = max(wait_s, request.deadline - instance.clock.now())
+    try:
+        async with bounded_wait(instance.slot_waits, left_s + ACQUIRE_SLACK_S):
+            return await _acquire_with_retries(instance, request, hold_s, wait_s, avoid)
+    except TimeoutError:
+        if instance.slot_waits.ended:
+            return Error(Fault(ResultCode.DRAINING, "the instance has stopped", 1000))
+        detail = "no dispatcher answered in time"
+        return Error(Fault(ResultCode.DEADLINE_BEFORE_RUN, detail))
+
+
+async def _acquire_with_retries(instance, request, hold_s, wait_s, avoid) -> Result:
+    """Acquires a slot as `acquire_in_any_region`, without its bound."""
     retry_until = instance.clock.now() + min(wait_s, NO_SERVERS_RETRY_S)
     while True:
         left_s = max(0.0, wait_s)
--- a/packages/daemon/src/flamingolift_daemon/httpserver.py
+++ b/packages/daemon/src/flamingolift_daemon/httpserver.py
@@ -11,6 +11,7 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from flamingolift_daemon.logs import logger
+from flamingolift_daemon.sockets import SLOW_READER_TIMEOUT_MS, set_user_timeout
 
 __all__ = ["EmbeddedServer", "make_app", "make_server", "track_caller", "write_problem"]
 
@@ -29,6 +30,16 @@
 
     refused = False
 
+    def connection_made(self, transport):
+        """Sets the socket options; called by the event loop.
+
+        Args:
+            transport: asyncio transport.
+        """
+        set_user_timeout(transport.get_extra_info("socket"), SLOW_READER_TIMEOUT_MS)
+        super().connection_made(transport)
+        self._start_idle_timeout()
+
     def data_received(self, data):
         """Takes input, or discards it after a refusal.
 
@@ -37,6 +48,19 @@
         """
         if not self.refused:
             super().data_received(data)
+            self._start_idle_timeout()
+
+    def _start_idle_timeout(self):
+        """Starts the keep-alive timeout unless a request is in progress.
+
+        uvicorn starts it after responses only, and ends it when bytes arrive, so that
+        a connection without a whole request head would stay open.
+        """
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and self.timeout_keep_alive_task is None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def send_400_response(self, msg):
         """Sends the problem document and closes the connection.
--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 
+from flamingolift_front.timelimit import time_limit
+
 __all__ = [
     "ByteStream",
     "PeerTimeoutError",
@@ -15,9 +17,12 @@
     "peer_host",
     "read",
     "read_before",
+    "wait_closed",
     "wait_readable",
     "wait_readable_before",
+    "wake",
     "write",
+    "write_eof",
 ]
 
 READ_HIGH_WATER_BYTES = 1 << 18
@@ -30,6 +35,10 @@
 KEEPALIVE_IDLE_S = 1
 """Idle time before the first keep-alive probe, and interval between probes (s)."""
 KEEPALIVE_PROBES = 2
+"""Unanswered probes in a row after which an idle connection ends."""
+KEEPALIVE_TIMEOUT_MS = 1000 * KEEPALIVE_IDLE_S * (1 + KEEPALIVE_PROBES)
+"""TCP_USER_TIMEOUT of a connection with keep-alive probes (ms). On Linux it takes the
+place of the count of probes, so that a shorter one would end the connection earlier."""
 
 
 class PeerTimeoutError(ConnectionError):
@@ -44,6 +53,8 @@
         buffer: Bytes received and not yet read.
         waiter: Future of the task that waits for bytes, or None.
         writable: Future that is done when the send buffer has room, or None.
+        closing: Future of the task that waits until the connection is closed, or None.
+        closed: Whether the connection is closed, with all bytes sent or given up.
         ended: Whether the peer sent end of file or the connection is lost.
         error: Exception that ended the connection, or None.
         on_open: Function called with the stream when it is connected, or None.
@@ -53,6 +64,8 @@
 
     __slots__ = (
         "buffer",
+        "closed",
+        "closing",
         "ended",
         "error",
         "on_data",
@@ -68,6 +81,8 @@
         self.buffer = bytearray()
         self.waiter = None
         self.writable = None
+        self.closing = None
+        self.closed = False
         self.ended = False
         self.error = None
         self.on_open = on_open
@@ -102,6 +117,8 @@
         """Records the end of the connection; called by the event loop."""
         _mark_ended(self, exc)
         _wake(self.writable)
+        self.closed = True
+        _wake(self.closing)
 
     def pause_writing(self):
         """Makes `flush` wait while the buffer is full; called by the event loop."""
@@ -148,7 +165,7 @@
         OSError: The connection was refused or not made in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
+    async with time_limit(loop.time() + timeout_s):
         transport, stream = await loop.create_connection(ByteStream, host, port)
     if keepalive:
         sock = transport.get_extra_info("socket")
@@ -156,6 +173,7 @@
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
             sock.setsockopt(socket.IPPROTO_TCP, option, KEEPALIVE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        _set_user_timeout(transport, KEEPALIVE_TIMEOUT_MS)
     return stream
 
 
@@ -209,9 +227,17 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(ends_at):
             await wait_readable(stream)
+    if not (stream.buffer or stream.ended):
+        # The event loop may take bytes from the socket later in the same turn.
+        await asyncio.sleep(0)
     return bool(stream.buffer) or stream.ended
 
 
+def wake(stream):
+    """Ends the wait of `wait_readable_before`, if there is one, before its time."""
+    _wake(stream.waiter)
+
+
 async def read_before(stream, ends_at):
     """Returns the bytes that have arrived, and waits for them until a time.
 
@@ -271,6 +297,14 @@
         stream.transport.write(data)
 
 
+def write_eof(stream):
+    """Ends the sending direction after the queued bytes, and keeps the other open."""
+    if not stream.transport.is_closing():
+        # The peer may have reset the connection, which the event loop has yet to see.
+        with contextlib.suppress(OSError):
+            stream.transport.write_eof()
+
+
 async def flush(stream):
     """Waits until the send buffer has room.
 
@@ -291,6 +325,13 @@
     stream.transport.close()
 
 
+async def wait_closed(stream):
+    """Waits until a connection that is being closed has sent its queued bytes."""
+    if not stream.closed:
+        stream.closing = asyncio.get_running_loop().create_future()
+        await stream.closing
+
+
 def abort(stream):
     """Closes a connection at once and discards its queued bytes."""
     stream.transport.abort()
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -1,23 +1,27 @@
 """Callers' HTTP/1.1 connections: one task for each, one request at a time."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
 
 import h11
-from flamingolift_model import RESULT_CODE_INFO
+from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.httpcall import header
 from flamingolift_front.requestreading import read_request
-from flamingolift_front.requesttrace import Trace
+from flamingolift_front.requesttrace import Trace, may_have_run
 from flamingolift_front.responses import problem_response
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
 
-__all__ = ["CallerConnection", "accept_caller", "close_idle"]
+__all__ = ["CallerConnection", "accept_caller", "close_idle", "end_requests"]
 
+LINGER_S = 2.0
+"""Longest time for which the rest of a refused request is taken (s)."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with a time of 0 s: closing the socket resets the connection."""
 
@@ -33,9 +37,12 @@
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
         from_instance: Whether another instance hands requests on over it.
-        closing: Whether the connection closes after the current response.
+        closing: Whether the connection closes after the current response, or when
+            no request has arrived.
         req: CallerRequest that was read whole and has no complete answer yet, or
             None.
+        trace: Trace of that request.
+        responding: Whether bytes of the answer to it were sent.
     """
 
     __slots__ = (
@@ -45,8 +52,10 @@
         "max_header_bytes",
         "parser",
         "req",
+        "responding",
         "stream",
         "task",
+        "trace",
     )
 
     def __init__(self, stream, parser, from_instance):
@@ -58,6 +67,8 @@
         self.busy = False
         self.closing = False
         self.req = None
+        self.trace = None
+        self.responding = False
 
 
 def accept_caller(front, stream, from_instance=False):
@@ -75,9 +86,21 @@
 
 
 def close_idle(front):
-    """Closes the connections on which no request is in progress."""
+    """Lets the connections close on which no request is in progress or has arrived."""
     for conn in list(front.connections):
-        if not conn.busy and not conn.stream.buffer:
+        if not (conn.busy or conn.closing or conn.stream.buffer):
+            conn.closing = True
+            bytestream.wake(conn.stream)
+
+
+def end_requests(front):
+    """Ends the requests in progress; their callers are told that it stops.
+
+    An answer that waits in the send buffer as a whole is left to be sent.
+    """
+    for conn in list(front.connections):
+        answering = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if conn.req is not None and answering:
             conn.task.cancel()
 
 
@@ -85,22 +108,74 @@
     """Serves requests until the connection ends."""
     cause = "idle"
     try:
-        while not conn.closing and await _serve_one(front, conn):
+        while await _serve_one(front, conn) and not conn.closing:
             conn.busy = False
             conn.parser.start_next_cycle()
-    except (ConnectionError, h11.LocalProtocolError) as exc:
+    except ConnectionError as exc:
         cause = str(exc) or type(exc).__name__
         log_event(front.log, "caller_lost", cause=cause)
     except asyncio.CancelledError:
         # The caller disconnected, or the instance is stopping.
         cause = "cancelled"
+        codes = (ResultCode.DRAINING, ResultCode.BACKEND_FAILED)
+        await _answer_unfinished(front, conn, codes, "the instance stopped")
     except Exception as exc:
         cause = repr(exc)
         log_event(front.log, "task_failed", task="caller", cause=cause)
+        codes = (ResultCode.INTERNAL_NOT_RUN, ResultCode.INTERNAL)
+        await _answer_unfinished(front, conn, codes, cause)
     finally:
         _record_end(front, conn, cause)
+        await _close(front, conn)
+
+
+async def _close(front, conn):
+    """Closes a connection, which counts as open until its last bytes have left."""
+    conn.closing = True
+    bytestream.close(conn.stream)
+    try:
+        await bytestream.wait_closed(conn.stream)
+    finally:
         front.connections.discard(conn)
-        bytestream.close(conn.stream)
+
+
+async def _answer_unfinished(front, conn, codes, cause):
+    """Tells a caller how a request ended that has no complete answer.
+
+    The parser may be in a state in which it sends no more, so another one encodes the
+    answer.
+
+    Args:
+        front: Front.
+        conn: CallerConnection.
+        codes: ResultCode of a request that did not run, and of one that may have run.
+        cause: Why there is no answer of a server.
+    """
+    if conn.req is None or conn.stream.ended or conn.stream.transport.is_closing():
+        return
+    if conn.responding:
+        _cut_response(front, conn, conn.req, cause)
+        return
+    if may_have_run(conn.trace):
+        fault = Fault(codes[1], f"{cause} during the request")
+    else:
+        fault = forwarding.retryable_fault(front, codes[0], f"{cause} before a send")
+    conn.parser = _make_answering_parser(conn.req.method)
+    status = RESULT_CODE_INFO[fault.code].status
+    _log_request(front, conn.req, conn.trace, fault.code.name, status, cause)
+    front.metrics.request_ends.labels("refused").inc()
+    req, conn.req = conn.req, None
+    with contextlib.suppress(ConnectionError):
+        await _send_response(front, conn, problem_response(fault), req.method)
+
+
+def _make_answering_parser(method):
+    """Returns an h11 connection that has read a request and closes after the answer."""
+    parser = h11.Connection(h11.SERVER)
+    parser.receive_data(method + b" / HTTP/1.1\r\nHost: -\r\nConnection: close\r\n\r\n")
+    while not isinstance(parser.next_event(), h11.EndOfMessage):
+        pass
+    return parser
 
 
 def _record_end(front, conn, cause):
@@ -127,10 +202,11 @@
     received = await read_request(front, conn)
     if received.is_error():
         await _send_response(front, conn, problem_response(received.error))
+        await _discard_input(conn.stream)
         return False
     if received.ok is None:
         return False
-    conn.req = received.ok
+    conn.req, conn.trace, conn.responding = received.ok, Trace(), False
     front.metrics.requests_read.inc()
     end = await _handle_request(front, conn, conn.req)
     front.metrics.request_ends.labels(end).inc()
@@ -138,6 +214,20 @@
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
 
+async def _discard_input(stream):
+    """Takes the rest of a refused request, for a time.
+
+    Closing a socket that has unread bytes resets the connection, and a caller that is
+    still sending would not read its refusal.
+    """
+    bytestream.write_eof(stream)
+    ends_at = time.monotonic() + LINGER_S
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while await bytestream.read_before(stream, ends_at):
+            if time.monotonic() >= ends_at:
+                break
+
+
 async def _handle_request(front, conn, req):
     """Forwards a request and sends the response to the caller.
 
@@ -145,15 +235,17 @@
         "answered" with a server's response, "refused" with one of the instance, or
         "caller_left".
     """
-    trace = Trace()
+    trace = conn.trace
     task = asyncio.current_task()
     conn.stream.on_end = task.cancel
     if conn.stream.ended:
+        _log_request(front, req, trace, "caller_left", 0)
         return "caller_left"
     try:
         result = await forwarding.forward(front, req, trace)
     except asyncio.CancelledError:
-        _log_request(front, req, trace, "caller_left", 0)
+        if conn.stream.ended:
+            _log_request(front, req, trace, "caller_left", 0)
         raise
     finally:
         conn.stream.on_end = None
@@ -247,10 +339,14 @@
 
 async def _stream_response(front, conn, forwarded):
     response = forwarded.response
-    data = _encode_head(
-        front, conn, response, httpcall.strip_hop_headers(response.headers)
-    )
-    bytestream.write(conn.stream, data + conn.parser.send(h11.Data(data=response.body)))
+    # The transfer coding of the server's response overrides its length (RFC 9112).
+    coded = header(response.headers, "transfer-encoding") is not None
+    framing = (b"content-length",) if coded else ()
+    headers = httpcall.strip_hop_headers(response.headers, framing)
+    data = _encode_head(front, conn, response, headers)
+    data += conn.parser.send(h11.Data(data=response.body))
+    conn.responding = True
+    bytestream.write(conn.stream, data)
     async for chunk in httpcall.iter_body(forwarded.call):
         bytestream.write(conn.stream, conn.parser.send(h11.Data(data=chunk)))
         await bytestream.flush(conn.stream)
@@ -269,7 +365,9 @@
     data = _encode_head(front, conn, response, headers)
     if response.body and has_body:
         data += conn.parser.send(h11.Data(data=response.body))
-    bytestream.write(conn.stream, data + conn.parser.send(h11.EndOfMessage()))
+    data += conn.parser.send(h11.EndOfMessage())
+    conn.responding = True
+    bytestream.write(conn.stream, data)
     await bytestream.flush(conn.stream)
 
 
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -20,18 +20,18 @@
 from flamingolift_front import handover, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.pathrecords import may_connect
-from flamingolift_front.requesttrace import SendRecord
+from flamingolift_front.requesttrace import SendRecord, may_have_run
 from flamingolift_front.sending import (
     CONNECT_TIMEOUT_S,
-    NOT_RUN_OUTCOMES,
     UNKNOWN_OUTCOMES,
     Outcome,
     send_request,
 )
 from flamingolift_front.sendresults import record_send_result
 from flamingolift_front.state import response_times_for, retry_budget_for
+from flamingolift_front.timelimit import time_limit
 
-__all__ = ["forward"]
+__all__ = ["forward", "retryable_fault"]
 
 DEADLINE_GRACE_S = 0.12
 """Time after the deadline during which a response is still accepted (s): covers a
@@ -63,7 +63,7 @@
     table = front.view.table
     if table is None:
         return Error(
-            _retryable_fault(
+            retryable_fault(
                 front, ResultCode.NOT_READY, "no routing policy has been read yet"
             )
         )
@@ -78,7 +78,7 @@
     deadline = min(req.deadline_at, req.received_at + route.timeout_ms / 1000.0)
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
-        return Error(_retryable_fault(front, ResultCode.DRAINING, detail))
+        return Error(retryable_fault(front, ResultCode.DRAINING, detail))
     if not serverpaths.is_cut_off(front.paths, trace.service):
         windowbudget.record_request(retry_budget_for(front, trace.service), now)
     if req.attempts_left is not None:
@@ -91,7 +91,7 @@
     front.metrics.handed_on.labels("taken").inc()
     if front.taken >= handover.MAX_TAKEN:
         detail = "too many requests of other instances"
-        return Error(_retryable_fault(front, ResultCode.OVERLOADED, detail))
+        return Error(retryable_fault(front, ResultCode.OVERLOADED, detail))
     trace.attempts = max(0, route.max_attempts - req.attempts_left)
     front.taken += 1
     try:
@@ -105,7 +105,7 @@
     now = time.monotonic()
     trace.shed = admission.should_shed(front.view.backends, trace.service, now)
     try:
-        async with asyncio.timeout(deadline + DEADLINE_GRACE_S - time.monotonic()):
+        async with time_limit(deadline + DEADLINE_GRACE_S):
             result = await _run_attempts(front, req, route, trace, deadline)
             if result.is_ok():
                 return result
@@ -122,16 +122,23 @@
     if trace.handed_to:
         detail = f"{trace.handed_to} did not answer before the deadline"
         return Fault(ResultCode.BACKEND_TIMEOUT, detail)
-    if all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends):
+    if not may_have_run(trace):
         detail = "no server ran the request before the deadline"
-        return _retryable_fault(front, ResultCode.DEADLINE_BEFORE_RUN, detail)
+        return retryable_fault(front, ResultCode.DEADLINE_BEFORE_RUN, detail)
     server_id = trace.sends[-1].server_id
     return Fault(
         ResultCode.BACKEND_TIMEOUT, f"{server_id} did not answer before the deadline"
     )
 
 
-def _retryable_fault(front, code, detail):
+def retryable_fault(front, code, detail):
+    """Returns the Fault of a request that did not run, with a random pause.
+
+    Args:
+        front: Front.
+        code: ResultCode.
+        detail: Sentence about the cause.
+    """
     pause_ms = front.rng.uniform(*RETRY_AFTER_S) * 1000.0
     return Fault(code, detail, retry_after_ms=pause_ms)
 
@@ -139,7 +146,7 @@
 def _overload_fault(front, trace, cause, now):
     mean = loads.mean_load(front.view.backends, trace.service, now)
     detail = f"{cause}; mean load {mean:.2f}"
-    return _retryable_fault(front, ResultCode.OVERLOADED, detail)
+    return retryable_fault(front, ResultCode.OVERLOADED, detail)
 
 
 async def _run_attempts(front, req, route, trace, deadline):
@@ -257,11 +264,11 @@
         return Fault(ResultCode.BACKEND_FAILED, "no server sent a complete response")
     if not may_connect(front, trace.service):
         detail = f"no server of {trace.service} is reached from this instance"
-        return _retryable_fault(front, ResultCode.CUT_OFF, detail)
+        return retryable_fault(front, ResultCode.CUT_OFF, detail)
     view, now = front.view.backends, time.monotonic()
     if trace.unreached >= MAX_CONNECT_FAILURES:
         detail = "no server accepted a connection"
-        return _retryable_fault(front, ResultCode.NO_BACKEND, detail)
+        return retryable_fault(front, ResultCode.NO_BACKEND, detail)
     if trace.shed:
         return _overload_fault(front, trace, "load shedding", now)
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
@@ -276,9 +283,7 @@
         detail = "no server accepted a connection"
     else:
         detail = "; ".join(e.reason for e in view.evacuations.values())
-    return _retryable_fault(
-        front, ResultCode.NO_BACKEND, detail or "no server is known"
-    )
+    return retryable_fault(front, ResultCode.NO_BACKEND, detail or "no server is known")
 
 
 async def _send(front, req, route, trace, backend, rank, deadline):
@@ -303,8 +308,7 @@
         )
     except asyncio.CancelledError:
         # The caller disconnected, or the deadline passed without a response.
-        if time.monotonic() >= deadline:
-            send.outcome = _outcome_at_deadline(send, started)
+        send.outcome = _outcome_of_cancelled(send, started, deadline)
         record_send_result(front, trace, backend, send, None, started)
         raise
     except Exception:
@@ -315,13 +319,14 @@
     return send.outcome, forwarded
 
 
-def _outcome_at_deadline(send, started):
-    """Returns the outcome of a send that the deadline cut short."""
+def _outcome_of_cancelled(send, started, deadline):
+    """Returns the outcome of a send that is cancelled."""
+    now = time.monotonic()
     if send.sent:
-        return Outcome.LATE
+        return Outcome.LATE if now >= deadline else Outcome.CANCELLED
     # A connect that has just begun says nothing about the server.
-    waited_s = time.monotonic() - started
-    return Outcome.UNREACHED if waited_s >= CONNECT_TIMEOUT_S / 2 else Outcome.NOT_SENT
+    is_failed = now >= deadline and now - started >= CONNECT_TIMEOUT_S / 2
+    return Outcome.UNREACHED if is_failed else Outcome.NOT_SENT
 
 
 async def _send_with_attempt_timeout(front, req, route, trace, backend, deadline, send):
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -1,8 +1,8 @@
 """Trace of a request: its routing decisions and sends, for the log."""
 
-from flamingolift_front.sending import Outcome
+from flamingolift_front.sending import NOT_RUN_OUTCOMES, Outcome
 
-__all__ = ["SendRecord", "Trace"]
+__all__ = ["SendRecord", "Trace", "may_have_run"]
 
 
 class SendRecord:
@@ -72,3 +72,13 @@
         self.unreached = 0
         self.handed_to = ""
         self.withheld = []
+
+
+def may_have_run(trace):
+    """Returns whether a server may have run the request.
+
+    Args:
+        trace: Trace of a request whose sends have ended.
+    """
+    was_sent = any(send.outcome not in NOT_RUN_OUTCOMES for send in trace.sends)
+    return was_sent or bool(trace.handed_to)
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -34,7 +34,7 @@
     """How one send to a backend server ended.
 
     NOT_RUN is a response that says so in its header, WRONG_SERVER a status 421,
-    UNREACHED a failed connect, NOT_SENT a connect that the deadline cut short, LOST a
+    UNREACHED a failed connect, NOT_SENT a connect that was cancelled, LOST a
     connection that broke off or an invalid response, SILENT a connection whose peer
     stopped acknowledging, LATE a missed deadline, OVERDUE a send that was cancelled in
     favour of another server and CANCELLED a send whose caller disconnected.
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -4,9 +4,18 @@
 import contextlib
 import time
 
-from flamingolift_front import requestreading
+import pytest
+from flamingolift_front import forwarding, httpcall, requestreading, sending
 from flamingolift_model.routing import RequestLimits
-from troubledserver import SOUND_BODY, run_site, sound
+from troubledserver import (
+    CHUNK,
+    CHUNKED,
+    PIECE_BYTES,
+    SOUND_BODY,
+    head,
+    run_site,
+    sound,
+)
 
 IDLE_TIMEOUT_S = 0.5
 WAIT_S = 5.0
@@ -37,10 +46,10 @@
         caller.writer.transport.abort()
 
 
-def send(caller, number, fields=""):
+def send(caller, number, fields="", deadline_ms=2000):
     caller.writer.write(
         f"GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
-        f"Request-Deadline-Ms: 2000\r\n{fields}\r\n".encode()
+        f"Request-Deadline-Ms: {deadline_ms}\r\n{fields}\r\n".encode()
     )
 
 
@@ -120,3 +129,50 @@
             set_limits(site, max_body_bytes=4097)
             body = "Content-Length: 3000\r\n\r\n" + "b" * 2998
             assert await exchange(caller, 3, body) == (200, SOUND_BODY)
+
+
+def raise_error(*_args, **_kwargs):
+    raise ZeroDivisionError
+
+
+# Guards against a connection that just closes when the instance's own code fails; the
+# answer also tells truly whether the request may have run.
+@pytest.mark.parametrize(
+    ("module", "function", "status", "outcome"),
+    [
+        (forwarding.affinity, "pick_backend", 503, b"not-run"),
+        (sending.serverpool, "return_connection", 500, b"unknown"),
+    ],
+)
+async def test_error_in_the_instance_is_answered(
+    monkeypatch, module, function, status, outcome
+):
+    async with run_sound_site() as site, connect(site) as caller:
+        monkeypatch.setattr(module, function, raise_error)
+        send(caller, 1)
+        raw = await caller.reader.read()
+        assert raw.split()[1] == b"%d" % status
+        assert b"request-outcome: " + outcome in raw.lower()
+        assert b"connection: close" in raw.lower()
+
+
+def answer_with_two_framings(request_id):
+    """Yields an answer above the size that is buffered, with both fields of framing."""
+    yield head(request_id, CHUNKED, b"content-length: 7")
+    for _number in range(2 * httpcall.SPOOL_BYTES // PIECE_BYTES):
+        yield CHUNK
+    yield b"0\r\n\r\n"
+
+
+# Guards against a streamed answer that is cut because its Content-Length, which the
+# chunked encoding overrides, contradicts its body.
+async def test_streamed_answer_with_two_framings_is_delivered_whole():
+    site_of_one = run_site(answer_with_two_framings, with_sound=False)
+    async with site_of_one as site, connect(site) as caller:
+        send(caller, 1, "Connection: close\r\n")
+        raw = await caller.reader.read()
+    first, _, body = raw.partition(b"\r\n\r\n")
+    assert first.split()[1] == b"200"
+    assert b"content-length" not in first.lower()
+    assert len(body) > 2 * httpcall.SPOOL_BYTES
+    assert body.endswith(b"0\r\n\r\n")
