--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -75,10 +75,11 @@
 
 
 def may_have_run(trace):
-    """Returns whether a server may have run the request.
+    """Returns whether a server may have run the request, or may still run it.
 
     Args:
         trace: Trace of a request whose sends have ended.
     """
-    was_sent = any(send.outcome not in NOT_RUN_OUTCOMES for send in trace.sends)
-    return was_sent or bool(trace.handed_to)
+    if trace.handed_to:
+        return True
+    return any(send.outcome not in NOT_RUN_OUTCOMES for send in trace.sends)
