Test that a stop leaves the outcome of a request handed on unknown

A booking that another instance is serving must not be refused as not run when the instance that took it stops, as its caller would book again.

--- a/integration/test_cut_off.py
+++ b/integration/test_cut_off.py
@@ -16,7 +16,7 @@
     served,
     wait_until,
 )
-from flamingolift_front import handover, httpcall, serverpool
+from flamingolift_front import callers, handover, httpcall, serverpool
 from flamingolift_model.plan import InstanceEntry
 from flamingolift_wire.codec import decode_document
 from platformfleet import call, received_requests
@@ -319,6 +319,21 @@
         assert len(served(site, "books")) == 6
 
 
+# Guards against a booking that is refused as not run when the instance stops while
+# another one serves it.
+async def test_outcome_is_unknown_when_the_instance_stops_meanwhile(new_site):
+    async with new_site(["upland"] * 2) as site:
+        first = site.instances[0]
+        await cut_off(site, first)
+        for server in site.servers.values():
+            server.script = dict.fromkeys(range(1, 90), "silent")
+        sends = asyncio.ensure_future(send(first, "POST", "/book/a", body=b"seat"))
+        await wait_until(lambda: served(site, "books"))
+        callers.end_requests(first.front)
+        _status, data = await sends
+        assert b"Request-Outcome: unknown" in data
+
+
 async def test_instance_bounds_the_requests_that_it_takes(new_site, monkeypatch):
     async with new_site(["upland"] * 2) as site:
         first, second = site.instances
