--- a/packages/model/src/flamingolift_model/plan.py
+++ b/packages/model/src/flamingolift_model/plan.py
@@ -201,11 +201,11 @@
         "state",
     )
     FIELDS = (
-        Field("instance_id", "str", min=1, max=128),
+        Field("instance_id", "str", min=1, max=128, format="line"),
         Field("region", "str", min=1, max=64),
         Field("failure_domain", "str", min=1, max=64),
         Field("site", "str", default="", max=64),
-        Field("host", "str", min=1, max=64),
+        Field("host", "str", min=1, max=64, format="address"),
         Field("caller_port", "int", min=1, max=65535),
         Field("peer_port", "int", min=1, max=65535),
         Field("operator_port", "int", min=1, max=65535),
@@ -277,11 +277,11 @@
         "state",
     )
     FIELDS = (
-        Field("server_id", "str", min=1, max=128),
+        Field("server_id", "str", min=1, max=128, format="line"),
         Field("service", "str", min=1, max=64),
         Field("region", "str", min=1, max=64),
         Field("failure_domain", "str", min=1, max=64),
-        Field("host", "str", min=1, max=64),
+        Field("host", "str", min=1, max=64, format="address"),
         Field("port", "int", min=1, max=65535),
         Field("slots", "int", default=0, min=0, max=1024),
         Field("state", "str", default="live", enum=("live", "leaving")),
--- a/packages/model/src/flamingolift_model/tests/test_conversion.py
+++ b/packages/model/src/flamingolift_model/tests/test_conversion.py
@@ -3,16 +3,21 @@
 import copy
 import enum
 import importlib
-import itertools
 import math
+import re
+import unicodedata
 
 import hypothesis.strategies as st
+import msgpack
 import pytest
 from flamingolift_model import Fault, ResultCode, from_plain, to_plain
 from flamingolift_model.conversion import MAX_DEPTH, MAX_UNKNOWN_FIELDS
+from flamingolift_model.encodable import MAX_INT, MIN_INT
 from flamingolift_model.record import MISSING, Field, Record
 from hypothesis import given, settings
 
+ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}|(?=.*:.*:)[0-9a-f:.]+", re.ASCII)
+"""Shapes of the addresses that the strategies draw."""
 MODULES = (
     "plan",
     "policy",
@@ -176,9 +181,22 @@
             faults[-1] += ": is not a known field"
     elif len(unknown) > MAX_UNKNOWN_FIELDS:
         faults.append(f"{path or 'document'}: has too many unknown fields")
+    else:
+        odd = [name for name in unknown if not is_packable(value[name])]
+        paths = [f"{prefix}{name}" or "document" for name in odd]
+        faults += [f"{found}: cannot be encoded again" for found in paths]
     return faults
 
 
+def is_packable(value):
+    """Returns whether msgpack can encode a value."""
+    try:
+        msgpack.packb(value)
+    except (OverflowError, UnicodeEncodeError, ValueError):
+        return False
+    return True
+
+
 def reference_field_faults(cls, f, type_name, value, strict, path, depth):
     if value is None and f.optional and type_name == f.type:
         return []
@@ -200,12 +218,26 @@
         items = [(f"{path}[{i}]", item) for i, item in enumerate(value)]
     else:
         items = [(f"{path}.{key}", item) for key, item in value.items()]
-    return list(
-        itertools.chain.from_iterable(
-            reference_field_faults(cls, f, inner, item, strict, item_path, depth + 1)
-            for item_path, item in items
+    faults = []
+    for number, (item_path, item) in enumerate(items):
+        found = reference_field_faults(
+            cls, f, inner, item, strict, item_path, depth + 1
         )
-    )
+        if kind == "map" and not found and not is_text(list(value)[number]):
+            found = [f"{item_path}: must be named by Unicode text"]
+        faults += found
+    return faults
+
+
+def is_line(value):
+    """Returns whether a text has no separators, except inner spaces, or controls."""
+    inner = value.replace(" ", "")
+    kinds = {unicodedata.category(c)[0] for c in inner}
+    return not kinds & {"C", "Z"} and value == value.strip(" ")
+
+
+def is_text(value):
+    return isinstance(value, str) and is_packable(value)
 
 
 def reference_scalar_faults(f, type_name, value, path):
@@ -226,6 +258,8 @@
         return [f"{path}: must be a finite number"]
     if type_name == "bool":
         return []
+    if type_name == "int" and not is_packable(value):
+        return [f"{path}: must fit in 64 bits"]
     phrase, size = "is", float(value) if type_name == "float" else value
     if type_name in ("str", "bytes"):
         phrase, size = "has length", len(value)
@@ -233,6 +267,12 @@
         return [f"{path}: {phrase} {size}; at least {f.min} is required"]
     if f.max is not None and size > f.max:
         return [f"{path}: {phrase} {size}; at most {f.max} is allowed"]
+    if f.format == "address" and not ADDRESS.fullmatch(value):
+        return [f"{path}: must be a numeric IP address"]
+    if type_name == "str" and not is_packable(value):
+        return [f"{path}: must be Unicode text"]
+    if f.format == "line" and not is_line(value):
+        return [f"{path}: must be printable, without spaces at its ends"]
     return []
 
 
@@ -292,7 +332,8 @@
     if draw(st.integers(0, 3)) == 0:
         known = {f.name for f in cls.FIELDS}
         unknown = st.text(max_size=3).filter(lambda name: name not in known)
-        value.update(draw(st.dictionaries(unknown, junk, max_size=2)))
+        kept = junk if damage else junk.filter(is_packable)
+        value.update(draw(st.dictionaries(unknown, kept, max_size=2)))
     if draw(st.booleans()):
         value = dict(draw(st.permutations(list(value.items()))))
     return value
@@ -325,10 +366,14 @@
     low, high = (f.min, f.max) if bounded else (None, None)
     if bounded and f.enum:
         return st.sampled_from(f.enum)
+    if bounded and f.format == "address":
+        return st.ip_addresses().map(str)
     if type_name == "bool":
         return st.booleans()
     if type_name == "int":
-        numbers = st.integers(low, high)
+        numbers = st.integers(
+            MIN_INT if low is None else low, MAX_INT if high is None else high
+        )
         edges = st.sampled_from([n for n in (low, high) if n is not None] or [0])
         return numbers | edges.map(lambda n: n + 1) if damage else numbers
     if type_name == "float":
@@ -338,6 +383,8 @@
             math.floor(2**53 if high is None else high),
         )
         return numbers | whole
+    if bounded and f.format == "line":
+        return st.text("ab \xe9", min_size=1, max_size=4).filter(is_line)
     texts = st.text if type_name == "str" else st.binary
     least = low or 0
     most = least + MAX_LENGTH if high is None else min(high, least + MAX_LENGTH)
