--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -20,10 +20,9 @@
 from flamingolift_front import handover, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.pathrecords import may_connect
-from flamingolift_front.requesttrace import SendRecord
+from flamingolift_front.requesttrace import SendRecord, may_have_run
 from flamingolift_front.sending import (
     CONNECT_TIMEOUT_S,
-    NOT_RUN_OUTCOMES,
     UNKNOWN_OUTCOMES,
     Outcome,
     send_request,
@@ -123,7 +122,7 @@
     if trace.handed_to:
         detail = f"{trace.handed_to} did not answer before the deadline"
         return Fault(ResultCode.BACKEND_TIMEOUT, detail)
-    if all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends):
+    if not may_have_run(trace):
         detail = "no server ran the request before the deadline"
         return retryable_fault(front, ResultCode.DEADLINE_BEFORE_RUN, detail)
     server_id = trace.sends[-1].server_id
@@ -309,8 +308,7 @@
         )
     except asyncio.CancelledError:
         # The caller disconnected, or the deadline passed without a response.
-        if time.monotonic() >= deadline:
-            send.outcome = _outcome_at_deadline(send, started)
+        send.outcome = _outcome_of_cancelled(send, started, deadline)
         record_send_result(front, trace, backend, send, None, started)
         raise
     except Exception:
@@ -321,13 +319,14 @@
     return send.outcome, forwarded
 
 
-def _outcome_at_deadline(send, started):
-    """Returns the outcome of a send that the deadline cut short."""
+def _outcome_of_cancelled(send, started, deadline):
+    """Returns the outcome of a send that is cancelled."""
+    now = time.monotonic()
     if send.sent:
-        return Outcome.LATE
+        return Outcome.LATE if now >= deadline else Outcome.CANCELLED
     # A connect that has just begun says nothing about the server.
-    waited_s = time.monotonic() - started
-    return Outcome.UNREACHED if waited_s >= CONNECT_TIMEOUT_S / 2 else Outcome.NOT_SENT
+    is_failed = now >= deadline and now - started >= CONNECT_TIMEOUT_S / 2
+    return Outcome.UNREACHED if is_failed else Outcome.NOT_SENT
 
 
 async def _send_with_attempt_timeout(front, req, route, trace, backend, deadline, send):
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -14,9 +14,9 @@
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import may_connect
+from flamingolift_front.requesttrace import may_have_run
 from flamingolift_front.sending import (
     HANDED_ON,
-    NOT_RUN_OUTCOMES,
     ForwardedResponse,
     start_call,
 )
@@ -63,8 +63,7 @@
     now = time.monotonic()
     if deadline - now < MIN_TIME_S:
         return False
-    ran_nowhere = all(send.outcome in NOT_RUN_OUTCOMES for send in trace.sends)
-    if not route.idempotent and not ran_nowhere:
+    if not route.idempotent and may_have_run(trace):
         return False
     budget = retry_budget_for(front, trace.service)
     instances = front.view.backends.instances
