--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -10,7 +10,7 @@
 from flamingolift_decisions import windowbudget
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import bytestream, helperlist, httpcall, peerlink, serverpool
+from flamingolift_front import bytestream, helperlist, httpcall, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import may_connect
@@ -162,7 +162,7 @@
             deadline - RETURN_MARGIN_S,
             (HANDED_ON, attempts_left),
         )
-        response = await httpcall.read_response(call, peerlink.accept_any)
+        response = await httpcall.read_response(call, httpcall.accept_any)
         finished = True
     except (ConnectionError, httpcall.InvalidResponseError) as exc:
         _record_failure(front, req, entry, "lost", exc)
--- a/packages/front/src/flamingolift_front/helperlist.py
+++ b/packages/front/src/flamingolift_front/helperlist.py
@@ -213,7 +213,7 @@
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 await peerlink.open_link(link)
                 call = peerlink.open_get(link, "/paths")
-                response = await httpcall.read_response(call, peerlink.accept_any)
+                response = await httpcall.read_response(call, httpcall.accept_any)
             if response.status != 200:
                 raise httpcall.InvalidResponseError(f"status {response.status}")
             reply = from_plain(PathsReply, msgpack.unpackb(response.body))
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -11,6 +11,7 @@
     "HttpCall",
     "HttpResponse",
     "InvalidResponseError",
+    "accept_any",
     "header",
     "is_reusable",
     "iter_body",
@@ -223,6 +224,11 @@
             raise InvalidResponseError("too many informational responses")
 
 
+def accept_any(_status, _headers):
+    """Takes any response for the expected one, for servers that answer in order."""
+    return True
+
+
 async def read_response(call, matches, spool_bytes=SPOOL_BYTES):
     """Reads the response to a request.
 
--- a/packages/front/src/flamingolift_front/limitgrants.py
+++ b/packages/front/src/flamingolift_front/limitgrants.py
@@ -189,7 +189,7 @@
         async with time_limit(time.monotonic() + GRANT_TIMEOUT_S):
             await peerlink.open_link(link)
             call = peerlink.open_get(link, f"/grant?{urllib.parse.urlencode(query)}")
-            response = await httpcall.read_response(call, peerlink.accept_any)
+            response = await httpcall.read_response(call, httpcall.accept_any)
         if response.status != 200:
             raise httpcall.InvalidResponseError(f"status {response.status}")
         reply = from_plain(GrantReply, msgpack.unpackb(response.body))
--- a/packages/front/src/flamingolift_front/peerlink.py
+++ b/packages/front/src/flamingolift_front/peerlink.py
@@ -11,7 +11,6 @@
 __all__ = [
     "PeerError",
     "PeerLink",
-    "accept_any",
     "close_link",
     "failures_as_peer_errors",
     "link_name",
@@ -89,11 +88,6 @@
     return httpcall.open_call(link.stream, b"GET", target.encode(), headers, b"")
 
 
-def accept_any(_status, _headers):
-    """Takes any response for the expected one, as peers answer in order."""
-    return True
-
-
 @contextlib.contextmanager
 def failures_as_peer_errors(link):
     """Closes the link when its use fails or is cancelled.
--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -137,7 +137,7 @@
     call = peerlink.open_get(link, f"/view?{query}")
     await bytestream.wait_readable(link.stream)
     began = time.monotonic()
-    response = await httpcall.read_response(call, peerlink.accept_any, MAX_UPDATE_BYTES)
+    response = await httpcall.read_response(call, httpcall.accept_any, MAX_UPDATE_BYTES)
     if response.status != 200 or not response.complete:
         raise httpcall.InvalidResponseError(f"status {response.status}")
     if not httpcall.is_reusable(call):
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -25,6 +25,7 @@
     "View",
     "ViewChange",
     "live_instances",
+    "notify_change",
     "response_times_for",
     "retry_budget_for",
 ]
@@ -320,3 +321,9 @@
         if entry.state == "live":
             by_region[entry.region].append(entry)
     return by_region
+
+
+def notify_change(view):
+    """Wakes the tasks that wait for a change of the view."""
+    view.changed.set()
+    view.changed = asyncio.Event()
--- a/packages/front/src/flamingolift_front/tests/test_endless_heads.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_heads.py
@@ -85,22 +85,18 @@
     return call
 
 
-def accept_any(_status, _headers):
-    return True
-
-
 # Guards against giving up a request for the informational responses that are usual.
 async def test_some_informational_responses_precede_the_response():
     early = b"HTTP/1.1 103 Early Hints\r\n\r\n" * httpcall.MAX_INFORMATIONAL_RESPONSES
     data = early + head(b"q", b"content-length: 2") + b"ok"
-    response = await httpcall.read_response(make_call(data), accept_any)
+    response = await httpcall.read_response(make_call(data), httpcall.accept_any)
     assert response.body == b"ok"
 
 
 # Guards against refusing a response whose first bytes arrive one by one.
 async def test_status_line_may_arrive_in_single_bytes():
     call = make_call(b"H")
-    reading = asyncio.create_task(httpcall.read_response(call, accept_any))
+    reading = asyncio.create_task(httpcall.read_response(call, httpcall.accept_any))
     for byte in (head(b"q", b"content-length: 2") + b"ok")[1:]:
         await asyncio.sleep(0)
         call.stream.data_received(bytes([byte]))
@@ -120,7 +116,7 @@
             await asyncio.sleep(0)
 
     counter = asyncio.create_task(count_turns())
-    response = await httpcall.read_response(make_call(data), accept_any)
+    response = await httpcall.read_response(make_call(data), httpcall.accept_any)
     counter.cancel()
     assert response.body == b"a" * chunks
     assert turns >= chunks // httpcall.EVENTS_PER_TURN
--- a/packages/front/src/flamingolift_front/viewera.py
+++ b/packages/front/src/flamingolift_front/viewera.py
@@ -10,6 +10,7 @@
 from flamingolift_model.plan import BackendEntry, InstanceEntry
 
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.state import notify_change
 
 __all__ = ["is_behind_era", "is_obsolete", "note_era"]
 
@@ -40,8 +41,7 @@
         view.era = era
         view.era_changed.set()
         view.era_changed = asyncio.Event()
-        view.changed.set()
-        view.changed = asyncio.Event()
+        notify_change(view)
     return era >= view.era
 
 
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -17,7 +17,7 @@
 
 from flamingolift_front import serverpool
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.state import ViewChange
+from flamingolift_front.state import ViewChange, notify_change
 from flamingolift_front.viewera import is_behind_era, is_obsolete
 
 __all__ = [
@@ -71,8 +71,7 @@
             log_event(front.log, "store_lost", call=kind, cause=exc.fault.detail)
             # A watch may wait on a network path that fails without a reset.
             front.store.abort_watch()
-            view.changed.set()
-            view.changed = asyncio.Event()
+            notify_change(view)
         raise
     front.metrics.store_calls.labels(kind, "ok").inc()
     if view.store_failed_at is not None:
@@ -212,8 +211,7 @@
         view.recent_changes.extend(changes)
     while len(view.recent_changes) > MAX_RECENT_CHANGES:
         view.recent_after = view.recent_changes.popleft().revision
-    view.changed.set()
-    view.changed = asyncio.Event()
+    notify_change(view)
 
 
 def _without_superseded(changes, keys):
