--- a/packages/front/src/flamingolift_front/helperlist.py
+++ b/packages/front/src/flamingolift_front/helperlist.py
@@ -38,6 +38,8 @@
 MAX_ASKED_AT_ONCE = 4
 VALID_S = 3.0
 """Time for which an answer holds (s): three rounds."""
+DEFAULT_LINK_MBPS = 10.0
+"""Bandwidth of an instance that does not report it (Mbit/s)."""
 WANTED_S = 3.0
 """Time after a request for which its need of a helper is kept up (s)."""
 
@@ -128,7 +130,12 @@
         return None
     if route.bulk:
         found = [e for e in found if e.region == front.cfg.region] or found
-    return front.rng.choice(found)
+    return front.rng.choices(found, [_link_weight(e) for e in found])[0]
+
+
+def _link_weight(entry):
+    """Returns the share of the load that an instance gets, by its bandwidth."""
+    return entry.link_mbps or DEFAULT_LINK_MBPS
 
 
 def _candidates(front):
