--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -162,6 +162,9 @@
 
 
 def _build_request(front, conn, head, body, received_at) -> Result:
+    if head.method == b"CONNECT":
+        # Its answer would open a tunnel, of which no server knows here.
+        return Error(Fault(ResultCode.BAD_REQUEST, "CONNECT is not supported"))
     headers = list(head.headers.raw_items())
     names = front.header_names
     attempts_left = None
