Do not blame a server when this instance has no socket for a connect

Callers saw: servers suspended, and a cut found, when an instance ran out of descriptors, ports or memory for a connect. Cause: each OSError of a connect counted as the server's. Such a send is now NOT_SENT, logged as no_socket, and the request is refused as not run.

--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -168,7 +168,7 @@
         outcome, forwarded = await _send(
             front, req, route, trace, backend, rank, deadline
         )
-        if outcome is Outcome.UNREACHED:
+        if outcome in (Outcome.UNREACHED, Outcome.NOT_SENT):
             if trace.attempts:
                 windowbudget.cancel_retry(retry_budget_for(front, trace.service))
             trace.unreached += 1
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -1,6 +1,7 @@
 """Sends one request to one backend server."""
 
 import enum
+import errno
 import time
 
 import h11
@@ -30,14 +31,21 @@
 to which it may still be sent."""
 
 
+_OWN_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
+"""Errors of a connect that lie with this instance, which has run out of something."""
+
+
 class Outcome(enum.StrEnum):
     """How one send to a backend server ended.
 
     NOT_RUN is a response that says so in its header, WRONG_SERVER a status 421,
-    UNREACHED a failed connect, NOT_SENT a connect that was cancelled, LOST a
-    connection that broke off or an invalid response, SILENT a connection whose peer
-    stopped acknowledging, LATE a missed deadline, OVERDUE a send that was cancelled in
-    favour of another server and CANCELLED a send whose caller disconnected.
+    UNREACHED a failed connect, NOT_SENT a connect that was cancelled or for which the
+    instance had no socket, LOST a connection that broke off or an invalid response,
+    SILENT a connection whose peer stopped acknowledging, LATE a missed deadline,
+    OVERDUE a send that was cancelled in favour of another server and CANCELLED a send
+    whose caller disconnected.
     """
 
     ANSWERED = "answered"
@@ -164,8 +172,12 @@
     if stream is None:
         try:
             stream = await bytestream.connect(*address, CONNECT_TIMEOUT_S)
-        except (OSError, TimeoutError):
-            return Outcome.UNREACHED, None
+        except (OSError, TimeoutError) as exc:
+            if getattr(exc, "errno", None) not in _OWN_ERRORS:
+                return Outcome.UNREACHED, None
+            cause = str(exc)
+            log_event(front.log, "no_socket", id=req.request_id, cause=cause)
+            return Outcome.NOT_SENT, None
         front.pool.opened += 1
         note_connected(front, entry.service)
         is_reused = False
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -16,6 +16,10 @@
         "task",
         "cause",
     ),
+    "no_socket": (
+        "id",
+        "cause",
+    ),
     "request_unanswered": (
         "id",
         "cause",
