Follow a request that was handed on in the command that traces requests

trace did not say that another instance served the request, nor that a cut was found shortly before, and printed the new outcome not_sent as it is logged. New tests compare its words with all outcomes of a send.

--- /dev/null
+++ b/packages/cli/src/flamingolift_cli/tests/test_tracing.py
@@ -0,0 +1,41 @@
+"""What `trace` says of a request, from the lines that fronts log."""
+
+from flamingolift_cli.tracing import explain_request
+from flamingolift_front.sending import Outcome
+
+DONE = {
+    "event": "request_done",
+    "id": "q1",
+    "route": "r-maps",
+    "service": "maps",
+    "policy": 3,
+    "status": 200,
+    "outcome": "answered",
+    "elapsed_ms": 40.0,
+    "detail": "",
+}
+
+
+def make_end(instance, at, sends, **fields):
+    return {**DONE, "instance": instance, "at": at, "sends": sends, **fields}
+
+
+def test_request_that_was_handed_on_is_followed_to_the_other_instance():
+    cut_off = {"event": "servers_cut_off", "instance": "front-1", "at": 8.0}
+    events = [
+        cut_off,
+        make_end("front-2", 9.0, [["i-1", 0, 0, "answered", 30.0]]),
+        make_end("front-1", 9.1, [], handed_to="front-2"),
+    ]
+    own, context, sentences = explain_request(events, "q1")
+    assert own == events[1:]
+    assert context == [cut_off]
+    assert "handed on to front-2" in sentences[1]
+    assert "handed on" not in sentences[0]
+
+
+def test_each_outcome_of_a_send_is_put_into_words():
+    for outcome in Outcome:
+        end = make_end("front-1", 9.0, [["i-1", 0, 0, outcome.value, 1.0]])
+        _own, _context, sentences = explain_request([end], "q1")
+        assert f") {outcome.value} after" not in sentences[0] or outcome == "answered"
--- a/packages/cli/src/flamingolift_cli/tracing.py
+++ b/packages/cli/src/flamingolift_cli/tracing.py
@@ -16,6 +16,8 @@
         "server_changed",
         "server_failed",
         "server_gone",
+        "servers_cut_off",
+        "servers_regained",
         "store_history_lost",
         "store_lost",
         "store_regained",
@@ -27,6 +29,7 @@
     "not_run": "did not run it",
     "wrong_server": "is another server than expected and did not run it",
     "unreached": "accepted no connection",
+    "not_sent": "was sent nothing",
     "lost": "gave no whole answer; it may have run",
     "silent": "acknowledged nothing; it may have run",
     "overdue": "was much slower than usual and was given up; it may have run",
@@ -96,6 +99,8 @@
         description = _SEND_OUTCOMES.get(outcome, outcome)
         known = f"place {rank}, {load} requests known on it"
         parts.append(f"{server} ({known}) {description} after {elapsed_ms} ms")
+    if end.get("handed_to"):
+        parts.append(f"handed on to {end['handed_to']}, which logged the same id")
     parts.append(_describe_end(end))
     return "; ".join(parts) + "."
 
