Keep the outcome of a request unknown when another instance refuses it

Callers of an idempotent request were told 'not run' (503, result code 2010 or 2001) although a server had received the request and broke the connection off. The instance then handed the request on, and answered with the refusal of the other instance, which knows nothing of the sends before it. Two tests show it: before, the answer was 'Request-Outcome: not-run' in both, once with CUT_OFF of an instance that is cut off too, once with OVERLOADED. A refusal of another instance now stands only if no own send may have run the request; otherwise the instance's own fault, with an unknown outcome, is the answer.

--- /dev/null
+++ b/integration/test_cut_off_answers.py
@@ -0,0 +1,40 @@
+"""What callers are told of requests that were sent before they were handed on."""
+
+
+import pytest
+from cutsites import REFUSE, cut_paths, run_cut_site, send, served
+from flamingolift_front import handover
+
+
+@pytest.fixture
+async def site(monkeypatch, tmp_path):
+    async with run_cut_site(monkeypatch, tmp_path, ["upland"] * 2) as running:
+        yield running
+
+
+async def lose_a_send(site):
+    """Sends a request whose first send breaks off, before no server is reached."""
+    first = site.instances[0]
+    assert (await send(first, "GET", "/read/a"))[0] == 200
+    for server in site.servers.values():
+        server.script = {len(server.requests) + 1: "reset"}
+    before = len(served(site))
+    cut_paths(site, first, REFUSE)
+    _status, data = await send(first, "GET", "/read/a")
+    assert len(served(site)) == before + 1
+    return data
+
+
+# Guards against a refusal as not run of a request that a server received before.
+async def test_refusal_of_another_instance_does_not_hide_an_own_send(site):
+    cut_paths(site, site.instances[1], REFUSE)
+    data = await lose_a_send(site)
+    assert site.instances[1].front.metrics.handed_on.labels("taken")._value.get()
+    assert b"Request-Outcome: unknown" in data
+
+
+async def test_refusal_for_overload_does_not_hide_an_own_send(site, monkeypatch):
+    monkeypatch.setattr(handover, "MAX_TAKEN", 0)
+    data = await lose_a_send(site)
+    assert site.instances[1].front.metrics.handed_on.labels("taken")._value.get()
+    assert b"Request-Outcome: unknown" in data
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -9,6 +9,7 @@
 from expression import Error, Nothing, Ok, Option, Some
 from flamingolift_decisions import windowbudget
 from flamingolift_model import Fault, ResultCode
+from flamingolift_wire.problems import REQUEST_OUTCOMES
 
 from flamingolift_front import bytestream, helperlist, httpcall, peerlink, serverpool
 from flamingolift_front.eventlog import log_event
@@ -44,6 +45,7 @@
     )
 )
 """Result codes of an instance that cannot serve a request which others may serve."""
+_NOT_RUN = REQUEST_OUTCOMES["no"]
 
 
 def may_hand_on(front, req, route, trace, code, deadline):
@@ -91,8 +93,10 @@
     Returns:
         Some with a Result as `forwarding.forward` returns it, or Nothing when the
         request was not handed on, since no such instance is known or accepts a
-        connection.
+        connection, and when an instance refuses a request that an own send may have
+        run.
     """
+    was_sent = may_have_run(trace)
     await helperlist.wait_for_answers(front, deadline - MIN_TIME_S)
     tried, declined = set(), Nothing
     while len(tried) < MAX_HELPERS and deadline - time.monotonic() > MIN_TIME_S:
@@ -107,26 +111,38 @@
             continue
         trace.handed_to = entry.instance_id
         result = await _exchange(front, req, route, trace, entry, stream, deadline)
+        # A refusal knows nothing of the sends before it.
+        refused = Nothing if was_sent and _is_not_run(front, result) else Some(result)
         if not _is_declined(front, result):
-            return Some(result)
-        # Until it is sent again, the request has run nowhere.
-        trace.handed_to, declined = "", Some(result)
+            return refused
+        # Until it is sent again, the request runs nowhere but by an own send.
+        trace.handed_to, declined = "", refused
         helperlist.forget_helper(front, entry.instance_id)
     front.metrics.handed_on.labels("no_helper").inc()
     return declined
 
 
 def _is_declined(front, result):
-    """Returns whether an instance says that it cannot serve a request.
+    """Returns whether an instance says that it cannot serve a request."""
+    return _own_field(front, result, "result-code") in _DECLINED
 
-    A server's response, which names the request, is never taken for that.
+
+def _is_not_run(front, result):
+    """Returns whether an instance refuses a request as not run."""
+    return _own_field(front, result, "request-outcome") == _NOT_RUN
+
+
+def _own_field(front, result, name):
+    """Returns a header field of an instance's own response, or None.
+
+    A server's response, which names the request, is never taken for one.
     """
     if result.is_error():
-        return False
+        return None
     headers = result.ok.response.headers
     if header(headers, front.header_names.request_id) is not None:
-        return False
-    return header(headers, "result-code") in _DECLINED
+        return None
+    return header(headers, name)
 
 
 async def _connect(front, route, entry):
