Wait for further instances' answers in the first round of questions

Callers of an instance that had just lost its path were refused (503, result code 2010) although another instance could serve them. The first answer ended the wait of all requests, and it may come from an instance that is cut off too and does not know it yet, or from one outside the home regions; the answers that arrived a few ms later were not waited for. A test delays the answer of the only instance with a path by 0.15 s: before, the booking got 503. A request now goes on waiting until an answer names a usable instance, the first round has ended, or its own bound has passed; later rounds keep nobody waiting.

--- a/integration/test_cut_off_answers.py
+++ b/integration/test_cut_off_answers.py
@@ -1,9 +1,10 @@
-"""What callers are told of requests that were sent before they were handed on."""
+"""What callers are told of requests that an instance hands on."""
 
+import asyncio
 
 import pytest
 from cutsites import REFUSE, cut_paths, run_cut_site, send, served
-from flamingolift_front import handover
+from flamingolift_front import handover, internalapi
 
 
 @pytest.fixture
@@ -38,3 +39,21 @@
     data = await lose_a_send(site)
     assert site.instances[1].front.metrics.handed_on.labels("taken")._value.get()
     assert b"Request-Outcome: unknown" in data
+
+
+# Guards against a refusal while the answers of the other instances are still on their
+# way: the first to answer may be cut off too.
+async def test_request_waits_for_later_answers(monkeypatch, tmp_path):
+    serve_paths = internalapi.serve_paths
+
+    async def serve_paths_late(front):
+        if front.cfg.instance_id == "front-2":
+            await asyncio.sleep(0.15)
+        return await serve_paths(front)
+
+    monkeypatch.setattr(internalapi, "serve_paths", serve_paths_late)
+    async with run_cut_site(monkeypatch, tmp_path, ["upland"] * 3) as site:
+        for instance in site.instances[:2]:
+            cut_paths(site, instance, REFUSE)
+        status, _data = await send(site.instances[0], "POST", "/book/a", body=b"seat")
+        assert status == 200
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -97,10 +97,11 @@
         run.
     """
     was_sent = may_have_run(trace)
-    await helperlist.wait_for_answers(front, deadline - MIN_TIME_S)
     tried, declined = set(), Nothing
     while len(tried) < MAX_HELPERS and deadline - time.monotonic() > MIN_TIME_S:
-        entry = helperlist.pick_helper(front, trace.service, route, tried)
+        entry = await helperlist.find_helper(
+            front, trace.service, route, tried, deadline - MIN_TIME_S
+        )
         if entry is None:
             break
         tried.add(entry.instance_id)
--- a/packages/front/src/flamingolift_front/helperlist.py
+++ b/packages/front/src/flamingolift_front/helperlist.py
@@ -17,12 +17,11 @@
 __all__ = [
     "Helpers",
     "ask_peers",
+    "find_helper",
     "forget_all",
     "forget_helper",
     "is_wanted",
-    "pick_helper",
     "serve_paths",
-    "wait_for_answers",
 ]
 
 ASK_TIMEOUT_S = 0.3
@@ -30,7 +29,7 @@
 ROUND_TIMEOUT_S = 0.6
 """Longest time for a round of questions (s)."""
 FIRST_ANSWER_S = 0.35
-"""Longest time for which a request waits for the first answers (s)."""
+"""Longest time for which a request waits for answers of the first round (s)."""
 MAX_ASKED_NEAR = 8
 """Peers asked in a round: those that answered before, and near ones."""
 MAX_ASKED_FAR = 4
@@ -65,11 +64,21 @@
         regions: Set of home regions for which no helper was known.
         links: Map of instance id to the PeerLink for questions.
         wake: Event that is set when peers are to be asked.
-        ready: Event that is set while the answers of a round are known.
+        ready: Event that is set while the answers of a whole round are known.
+        answered: Event that is set and replaced at each answer and at the end of a
+            round.
         wanted_until: Time until which helpers are wanted (s, monotonic).
     """
 
-    __slots__ = ("answers", "links", "ready", "regions", "wake", "wanted_until")
+    __slots__ = (
+        "answered",
+        "answers",
+        "links",
+        "ready",
+        "regions",
+        "wake",
+        "wanted_until",
+    )
 
     def __init__(self):
         self.answers = {}
@@ -77,6 +86,7 @@
         self.links = {}
         self.wake = asyncio.Event()
         self.ready = asyncio.Event()
+        self.answered = asyncio.Event()
         self.wanted_until = -math.inf
 
 
@@ -85,24 +95,38 @@
     return bool(lost_services(front)) or time.monotonic() < front.helpers.wanted_until
 
 
-async def wait_for_answers(front, ends_at):
-    """Waits until the first peers have answered, if none was asked yet.
+async def find_helper(front, service, route, tried, ends_at):
+    """Finds an instance that can serve a request of a service.
+
+    Until a whole round of answers is known, it waits for further ones when those that
+    have arrived name no such instance.
 
     Args:
         front: Front.
+        service: Service name.
+        route: Route of the request.
+        tried: Set of the ids of instances that are not to be picked.
         ends_at: Time at which the wait ends in any case (s, monotonic).
+
+    Returns:
+        InstanceEntry, or None when no such instance is known.
     """
     helpers, now = front.helpers, time.monotonic()
     helpers.wanted_until = now + WANTED_S
-    if helpers.ready.is_set():
-        return
-    helpers.wake.set()
+    if not helpers.ready.is_set():
+        helpers.wake.set()
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(min(FIRST_ANSWER_S, ends_at - now)):
-            await helpers.ready.wait()
+            while True:
+                answered = helpers.answered
+                entry = _pick_helper(front, service, route, tried)
+                if entry is not None or helpers.ready.is_set():
+                    return entry
+                await answered.wait()
+    return None
 
 
-def pick_helper(front, service, route, tried):
+def _pick_helper(front, service, route, tried):
     """Picks an instance that can serve a request of a service.
 
     Args:
@@ -181,6 +205,12 @@
         async with asyncio.timeout(ROUND_TIMEOUT_S):
             await asyncio.gather(*(ask_next() for _ in range(MAX_ASKED_AT_ONCE)))
     front.helpers.ready.set()
+    _notify_waiting(front.helpers)
+
+
+def _notify_waiting(helpers):
+    helpers.answered.set()
+    helpers.answered = asyncio.Event()
 
 
 def _choose_peers(front):
@@ -230,8 +260,7 @@
         peerlink.close_link(helpers.links.pop(name, link))
         return
     helpers.answers[name] = Helper(unserved, time.monotonic())
-    if unserved.isdisjoint(missing):
-        helpers.ready.set()
+    _notify_waiting(helpers)
 
 
 async def serve_paths(front):
