Give the stand-in service of a test room for all of its requests

The test of cut instances failed in 2 of about 10 runs with one 503 of 48. It sends 24 requests at once to the one server of a service through two instances, and the server's entry names 8 slots; the log of the failed run shows that an instance that took 9 or more refused one as 'all servers are full'. The entries name 32 slots now. What the test asserts, all of the 48 requests are served, is unchanged.

--- a/integration/cutsites.py
+++ b/integration/cutsites.py
@@ -146,7 +146,7 @@
             failure_domain="d0",
             host="127.0.0.1",
             port=proxy.port,
-            slots=8,
+            slots=32,
         )
         backends.apply_entry(front.view.backends, entry, 0.0)
     instance.listeners = await run._listen(front, None, None)
