--- a/packages/front/src/flamingolift_front/tests/test_helper_choice.py
+++ b/packages/front/src/flamingolift_front/tests/test_helper_choice.py
@@ -26,7 +26,7 @@
 
 # Guards against instances on slow links that get as many requests of others as those on
 # fast ones, and delay the answers to all of their callers.
-def test_helpers_share_the_requests_by_their_bandwidth():
+async def test_helpers_share_the_requests_by_their_bandwidth():
     front = make_front_with_helpers()
     services = [WeightedService(service="maps", weight=1.0)]
     route = Route(
@@ -37,10 +37,12 @@
         idempotent=True,
         timeout_ms=1000.0,
     )
-    picked = collections.Counter(
-        helperlist.pick_helper(front, "maps", route, set()).instance_id
-        for _number in range(2000)
-    )
+    front.helpers.ready.set()
+    picked = collections.Counter()
+    for _number in range(2000):
+        ends_at = time.monotonic() + 1.0
+        entry = await helperlist.find_helper(front, "maps", route, set(), ends_at)
+        picked[entry.instance_id] += 1
     assert 0.8 < picked["front-1"] / 2000 < 0.98
     assert picked["front-2"]
     # An instance that does not report its bandwidth is not left out.
