Collect the writers of a test site while its event loop runs

pytest ended with SystemError, 'AST constructor recursion depth mismatch', when integration/test_cut_off*.py ran without a module that imports hypothesis: writers of closed sites were collected during a later parse, and their __del__ raised since the event loop was closed. The sites now collect them at their end. The two modules ended so before (rc of an internal error after 32 passed), and pass with no warning now.

--- a/integration/cutsites.py
+++ b/integration/cutsites.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import json
 import os
 
@@ -209,6 +210,10 @@
             await _stop_instance(instance)
         for server in site.servers.values():
             await stop_server(server)
+        # Writers that are collected after the event loop is closed raise in `__del__`,
+        # which breaks a parse that is in progress.
+        await asyncio.sleep(0)
+        gc.collect()
 
 
 async def wait_until(condition):
--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import struct
 
@@ -235,6 +236,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
             await _stop_server(server)
+        # Writers that are collected after the event loop is closed raise in `__del__`,
+        # which breaks a parse that is in progress.
+        await asyncio.sleep(0)
+        gc.collect()
 
 
 async def open_request(site, number=1, version="1.1", deadline_s=DEADLINE_S):
