Hold retries that were handed on to the budget of who takes them

Servers could get more repeats than the retry budget allows: an instance that hands on a request which it has sent before counts no retry for it, and the one that takes it recorded the send as a retry without asking its budget. The test sends a marked request with 2 of 3 attempts left to an instance without budget: before, a server received it (1 == 0). The first send there is now held to the budget like any retry; a request that was not sent before is sent as ever.

--- a/integration/test_cut_off_answers.py
+++ b/integration/test_cut_off_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from cutsites import REFUSE, cut_paths, run_cut_site, send, served
+from cutsites import REFUSE, cut_paths, open_request, run_cut_site, send, served
 from flamingolift_front import handover, internalapi
 
 
@@ -57,3 +57,19 @@
             cut_paths(site, instance, REFUSE)
         status, _data = await send(site.instances[0], "POST", "/book/a", body=b"seat")
         assert status == 200
+
+
+# Guards against retries beyond the budget: the instance that hands a request on counts
+# none of its sends there, and the one that takes it sent the first one unasked.
+@pytest.mark.parametrize(("left", "sends"), [(3, 1), (2, 0)])
+async def test_retry_that_was_handed_on_needs_the_budget(site, left, sends):
+    second = site.instances[1]
+    second.front.cfg.retry_extra = 0
+    second.front.cfg.caller_port = second.front.cfg.handover_port
+    reader, writer = await open_request(
+        second, "GET", "/read/a", fields=[f"Flamingolift-Handed-On: {left}"]
+    )
+    data = await reader.read()
+    writer.close()
+    assert len(served(site)) == sends
+    assert data.startswith(b"HTTP/1.1 200" if sends else b"HTTP/1.1 503")
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -154,7 +154,9 @@
     last = None
     while _has_tries_left(front, route, trace):
         now = time.monotonic()
-        if trace.sends and not _may_retry(front, trace, deadline, now):
+        # Another instance may have sent the request before.
+        is_first = not (trace.sends or trace.attempts)
+        if not (is_first or _may_retry(front, trace, deadline, now)):
             break
         may_use = _usable_servers(front, route, trace)
         backend, rank = _pick(front, req, route, trace, now, may_use)
