Give cold servers a new pause when their service is regained

Servers that restarted while instances were cut off from them could get a burst at the return: the time of an instance's next cold request had passed during the cut, and all instances that were cut off notice the return at about the same time, so that each could send one at once. The test marks the servers as cold with a request due; after the return it was still due (all(...) was False).

--- a/integration/test_cut_off_paths.py
+++ b/integration/test_cut_off_paths.py
@@ -142,3 +142,18 @@
     assert status == 503
     assert len(idle) == 1
     assert not idle[0].stream.ended
+
+
+# Guards against a burst at servers that restarted meanwhile: all instances notice the
+# return at about the same time.
+async def test_cold_servers_keep_their_pace_at_the_return(site):
+    instance = site.instances[0]
+    cut_paths(site, instance, REFUSE, "reads")
+    await send_many(instance, "/read/a")
+    now = time.monotonic()
+    known = instance.front.view.backends.by_service["reads"]
+    for backend in known:
+        backend.cold_until, backend.next_cold_request_at = now + 60.0, now - 1.0
+    heal_paths(site, instance)
+    await wait_until(lambda: events(instance, "servers_regained"))
+    assert all(backend.next_cold_request_at > now for backend in known)
--- a/packages/decisions/src/flamingolift_decisions/serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/serverpaths.py
@@ -18,6 +18,7 @@
     "lift_suspensions",
     "record_reached",
     "record_unreached",
+    "renew_cold_pauses",
 ]
 
 CUT_OFF_SERVERS = 3
@@ -138,3 +139,20 @@
         backend = view.backends.get(server_id)
         if backend is not None:
             end_suspension(view, backend, now)
+
+
+def renew_cold_pauses(view, service, now):
+    """Lets the cold servers of a service that is no longer cut off wait for a pause.
+
+    Their requests have all become due meanwhile, and the instances that were cut off
+    together return at about the same time.
+
+    Args:
+        view: BackendView.
+        service: Service name.
+        now: Current time (s, monotonic).
+    """
+    for backend in view.by_service.get(service, ()):
+        is_due = backend.suspended_until <= now >= backend.next_cold_request_at
+        if is_due and now < backend.cold_until:
+            end_suspension(view, backend, now)
--- a/packages/front/src/flamingolift_front/pathrecords.py
+++ b/packages/front/src/flamingolift_front/pathrecords.py
@@ -56,6 +56,7 @@
     now = time.monotonic()
     for paths in records:
         for cut_off_at in serverpaths.record_reached(paths, service, now).to_list():
+            serverpaths.renew_cold_pauses(front.view.backends, service, now)
             log_event(
                 front.log,
                 "servers_regained",
