Let the platform's stand-in server leave and ask for quiet

Tests could not show how a front treats a server that says in its answers that it leaves, or that adds Retry-After to a 503: PlatformServer spoke neither. It now sends Server-Leaving in all its answers (whole, streamed and rejected) while `leaving` is set, and Retry-After in its rejections while `retry_after` is set. The new actions "busy" (a 503 without Not-Executed) and "stream" (a body that a front passes on before its end) cover the answers that are no rejection. Nothing changes while both are unset; the tests that use the stand-in are untouched.

--- a/standins/src/flamingolift_standins/platformserver.py
+++ b/standins/src/flamingolift_standins/platformserver.py
@@ -10,6 +10,9 @@
 
 __all__ = ["PlatformServer", "ServedRequest", "start_server", "stop_server"]
 
+STREAMED_BYTES = 3 << 20
+"""Size of a long response, which a front passes on before its end (bytes)."""
+
 
 class ServedRequest:
     """A request that the server received.
@@ -41,22 +44,27 @@
         port: TCP port.
         work_s: Processing time of a request (s).
         limit: Value of Server-Limit in its answers; None names no limit.
+        leaving: Whether all its answers say Server-Leaving.
+        retry_after: Value of Retry-After in its rejections; None for none.
         requests: List of ServedRequest in the order of arrival.
         script: Map of the number of a request, from 1, to a fault: "reject" (503,
-            not run), "reset", "cut" (response without its end), "duplicate"
-            (response sent twice), "wrong_id" (another Request-Id), "garbage" (no
-            HTTP), "silent" (no response), "fail" (500), the bytes to send as the
-            response, or a function of the ServedRequest that returns an iterable of
-            bytes, which may have no end.
+            not run), "busy" (503, possibly run), "reset", "cut" (response without
+            its end), "duplicate" (response sent twice), "stream" (long response),
+            "wrong_id" (another Request-Id), "garbage" (no HTTP), "silent" (no
+            response), "fail" (500), the bytes to send as the response, or a
+            function of the ServedRequest that returns an iterable of bytes, which
+            may have no end.
         connections: Set of the writers of open connections.
         server: asyncio server.
     """
 
     __slots__ = (
         "connections",
+        "leaving",
         "limit",
         "port",
         "requests",
+        "retry_after",
         "script",
         "server",
         "server_id",
@@ -67,6 +75,8 @@
         self.server_id = server_id
         self.work_s = work_s
         self.limit = None
+        self.leaving = False
+        self.retry_after = None
         self.requests = []
         self.script = {}
         self.connections = set()
@@ -146,13 +156,22 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def _limit_field(state):
-    return [] if state.limit is None else [f"Server-Limit: {state.limit}"]
+def _state_fields(state):
+    """Returns the header fields of all answers that tell the server's state."""
+    fields = [] if state.limit is None else [f"Server-Limit: {state.limit}"]
+    return [*fields, "Server-Leaving: 1"] if state.leaving else fields
+
+
+def _rejection_fields(state):
+    fields = _state_fields(state)
+    if state.retry_after is not None:
+        fields.append(f"Retry-After: {state.retry_after}")
+    return fields
 
 
 def _reject(state, writer, request, status):
     request.ended = "rejected"
-    fields = ["Not-Executed: 1", *_limit_field(state)]
+    fields = ["Not-Executed: 1", *_rejection_fields(state)]
     writer.write(_response(request, status, b"", fields))
     return True
 
@@ -175,7 +194,7 @@
 
 def _send_response(state, writer, request, action):
     body = b"answer of " + state.server_id.encode()
-    fields = ["Server-Seal: sealed", *_limit_field(state)]
+    fields = ["Server-Seal: sealed", *_state_fields(state)]
     message = _response(request, 200, body, fields)
     if isinstance(action, bytes):
         message = action
@@ -188,6 +207,10 @@
         message = message.replace(b"Request-Id: ", b"Request-Id: other-")
     elif action == "duplicate":
         message += message
+    elif action == "stream":
+        message = _response(request, 200, bytes(STREAMED_BYTES), fields)
+    elif action == "busy":
+        message = _response(request, 503, b"busy", _rejection_fields(state))
     elif action == "fail":
         message = _response(request, 500, b"failed", fields)
     writer.write(message)
