Give evacuations a module of their own

They move to evacuations.py unchanged, and extend_cold_period, which they share with restarts and suspensions, becomes public. No behaviour changes: the tests of evacuations (test_affinity.py) pass with only the name of the module changed.

--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -12,6 +12,7 @@
     "bookings",
     "budget",
     "documents",
+    "evacuations",
     "explanations",
     "fairness",
     "hashing",
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -16,8 +16,8 @@
     "BackendView",
     "apply_entry",
     "eligible_backends",
-    "end_evacuation",
     "end_suspension",
+    "extend_cold_period",
     "is_cold",
     "is_in_use",
     "is_withheld",
@@ -26,7 +26,6 @@
     "record_send",
     "record_timeout",
     "remove_entry",
-    "set_evacuations",
     "suspend_backend",
 ]
 
@@ -167,7 +166,7 @@
     backend = view.backends.get(entry.server_id)
     if backend is None:
         backend = view.backends[entry.server_id] = Backend(entry)
-        _extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
+        extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
         _reindex(view)
         return Some("joined")
     before, backend.entry = backend.entry, entry
@@ -180,9 +179,9 @@
         backend.grants, backend.next_grant_at = None, -math.inf
         spec = view.services.get(entry.service)
         cold_s = max(entry.cold_ms, spec.cold_ms if spec else 0.0) / 1000.0
-        _extend_cold_period(view, backend, cold_s, now)
+        extend_cold_period(view, backend, cold_s, now)
         return Some("restarted")
-    _extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
+    extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
     if before.state != entry.state:
         return Some("leaving" if entry.state == "leaving" else "returned")
     return Nothing
@@ -206,8 +205,15 @@
     view.generation += 1
 
 
-def _extend_cold_period(view, backend, duration_s, now):
-    """Marks a server as cold for a time from now."""
+def extend_cold_period(view, backend, duration_s, now):
+    """Marks a server as cold for a time from now.
+
+    Args:
+        view: BackendView.
+        backend: Backend.
+        duration_s: Length of the time (s).
+        now: Current time (s, monotonic).
+    """
     if duration_s <= 0.0:
         return
     if not is_cold(backend, now):
@@ -239,44 +245,6 @@
     return backend
 
 
-def set_evacuations(view, evacuations, now):
-    """Applies the evacuations in force, which take failure domains out of service.
-
-    Args:
-        view: BackendView.
-        evacuations: Map of failure domain to Evacuation.
-        now: Current time (s, monotonic).
-
-    Returns:
-        Tuple of the failure domains newly evacuated and those whose evacuation ended.
-    """
-    added = sorted(set(evacuations) - set(view.evacuations))
-    ended = sorted(set(view.evacuations) - set(evacuations))
-    view.evacuations = dict(evacuations)
-    for failure_domain in ended:
-        end_evacuation(view, failure_domain, now)
-    return added, ended
-
-
-def end_evacuation(view, failure_domain, now):
-    """Treats the servers of a failure domain as cold after its evacuation.
-
-    Args:
-        view: BackendView.
-        failure_domain: Failure domain whose evacuation ended.
-        now: Current time (s, monotonic).
-
-    Notes:
-        They had no traffic, so that they may be cold although their entries do not
-        say so yet.
-    """
-    for backend in view.backends.values():
-        if backend.entry.failure_domain != failure_domain:
-            continue
-        spec = view.services.get(backend.entry.service)
-        _extend_cold_period(view, backend, spec.cold_ms / 1000.0 if spec else 0.0, now)
-
-
 def is_cold(backend, now):
     """Returns whether a server is cold, or may be cold after a suspension."""
     return now < backend.cold_until or now < backend.trial_until
--- a/packages/decisions/src/flamingolift_decisions/tests/test_affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_affinity.py
@@ -1,6 +1,6 @@
 import collections
 
-from flamingolift_decisions import affinity, backends, loads
+from flamingolift_decisions import affinity, backends, evacuations, loads
 from flamingolift_model.plan import BackendEntry
 from flamingolift_model.routing import Evacuation, Route, ServiceSpec, WeightedService
 from hypothesis import given
@@ -150,7 +150,7 @@
     view = make_view(6)
     backends.apply_entry(view, make_entry(1, state="leaving"), 1.0)
     reason = Evacuation(failure_domain="d0", reason="new roof")
-    added, ended = backends.set_evacuations(view, {"d0": reason}, 1.0)
+    added, ended = evacuations.set_evacuations(view, {"d0": reason}, 1.0)
     assert (added, ended) == (["d0"], [])
     warm, cold = backends.eligible_backends(view, "maps", make_route(), 1.0)
     assert sorted(b.entry.server_id for b in warm + cold) == ["s2", "s4", "s5"]
@@ -161,8 +161,8 @@
     spec = ServiceSpec(name="maps", cold_ms=3000.0, cold_per_s=4.0)
     view.services = {"maps": spec}
     evacuation = Evacuation(failure_domain="d0", reason="new roof")
-    backends.set_evacuations(view, {"d0": evacuation}, 1.0)
-    backends.set_evacuations(view, {}, 5.0)
+    evacuations.set_evacuations(view, {"d0": evacuation}, 1.0)
+    evacuations.set_evacuations(view, {}, 5.0)
     warm, _cold = backends.eligible_backends(view, "maps", make_route(), 5.1)
     assert "s0" not in {b.entry.server_id for b in warm}
     warm, _cold = backends.eligible_backends(view, "maps", make_route(), 8.1)
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -10,6 +10,7 @@
 import time
 
 from flamingolift_decisions import backends, instancecount, routetable
+from flamingolift_decisions.evacuations import set_evacuations
 from flamingolift_decisions.storeposition import era_of
 from flamingolift_model import FaultError
 from flamingolift_model.plan import BackendEntry, InstanceEntry
@@ -302,7 +303,7 @@
     documents = front.view.documents.values()
     evacuations = {d.failure_domain: d for d in documents if isinstance(d, Evacuation)}
     view = front.view.backends
-    started, ended = backends.set_evacuations(view, evacuations, time.monotonic())
+    started, ended = set_evacuations(view, evacuations, time.monotonic())
     for failure_domain in started:
         log_event(
             front.log,
