Send no new request to a server that says that it leaves

Cause: only the state of the entry counted. Now availability.py says in one function, why_unused, why a server gets nothing; is_in_use, the choice of a server, the check after the wait for a grant, and explain-path ask it. The header in any answer that is read for a request marks the start of the server to which the request was sent; the last answer of a former start therefore says nothing of the new one. It holds until the entry shows another start: an entry of the same start may be an older report or come from a restored copy, and a server does not take back that it leaves. The mark outlives the removal of the entry, since that may come back; old ones are dropped beyond a bound. Status 421 is not read, because another server gave that answer.

--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -8,6 +8,7 @@
     "admission",
     "affinity",
     "attempttimeout",
+    "availability",
     "backends",
     "bookings",
     "budget",
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -11,6 +11,8 @@
 
 from expression import Nothing, Option, Some
 
+from flamingolift_decisions.availability import is_in_use, why_unused
+
 __all__ = [
     "Backend",
     "BackendView",
@@ -71,6 +73,7 @@
         grants: GrantBucket of this instance as a grantor, or None before its first use.
         next_grant_at: Earliest time of the next request while it names a limit (s,
             monotonic).
+        notice: ServerNotice of its present start, or None when it gave none.
     """
 
     __slots__ = (
@@ -87,6 +90,7 @@
         "lost",
         "next_cold_request_at",
         "next_grant_at",
+        "notice",
         "suspended_until",
         "trial_until",
     )
@@ -107,6 +111,7 @@
         self.limit_invalid = False
         self.grants = None
         self.next_grant_at = -math.inf
+        self.notice = None
 
 
 class BackendView:
@@ -119,6 +124,8 @@
         evacuations: Map of failure domain to Evacuation.
         services: Map of service name to ServiceSpec.
         instances: Number of instances that share the rates of cold servers.
+        notices: Map of (server id, start of the server) to ServerNotice; it outlives
+            the removal of an entry, which may come back.
         rng: Random number generator for pauses and for load shedding, so that the
             instances do not act in step.
         mean_loads: Map of service name to a tuple of its mean load (ratio) and
@@ -132,6 +139,7 @@
         "generation",
         "instances",
         "mean_loads",
+        "notices",
         "rng",
         "services",
     )
@@ -143,6 +151,7 @@
         self.evacuations = {}
         self.services = {}
         self.instances = 1
+        self.notices = {}
         self.rng = rng or random.Random()
         self.mean_loads = {}
 
@@ -166,6 +175,7 @@
     backend = view.backends.get(entry.server_id)
     if backend is None:
         backend = view.backends[entry.server_id] = Backend(entry)
+        backend.notice = view.notices.get((entry.server_id, entry.started_ms))
         extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
         _reindex(view)
         return Some("joined")
@@ -177,6 +187,7 @@
         backend.failures = backend.lost = backend.late = 0
         backend.limit, backend.limit_invalid = None, False
         backend.grants, backend.next_grant_at = None, -math.inf
+        backend.notice = view.notices.get((entry.server_id, entry.started_ms))
         spec = view.services.get(entry.service)
         cold_s = max(entry.cold_ms, spec.cold_ms if spec else 0.0) / 1000.0
         extend_cold_period(view, backend, cold_s, now)
@@ -250,14 +261,6 @@
     return now < backend.cold_until or now < backend.trial_until
 
 
-def is_in_use(view, backend, now):
-    """Returns whether a server is neither leaving, evacuated nor suspended."""
-    entry = backend.entry
-    if entry.state == "leaving" or entry.failure_domain in view.evacuations:
-        return False
-    return now >= backend.suspended_until
-
-
 def eligible_backends(view, service, route, now):
     """Lists the servers that may take a request now.
 
@@ -276,7 +279,7 @@
     for backend in view.by_service.get(service, ()):
         if homes and backend.entry.region not in homes:
             continue
-        if not is_in_use(view, backend, now):
+        if why_unused(view, backend, now) is not None:
             continue
         if not is_cold(backend, now):
             warm.append(backend)
--- a/packages/decisions/src/flamingolift_decisions/explanations.py
+++ b/packages/decisions/src/flamingolift_decisions/explanations.py
@@ -1,6 +1,7 @@
 """Explanation of how a request is routed, in sentences to be read out to a caller."""
 
 from flamingolift_decisions.affinity import rank_backends
+from flamingolift_decisions.availability import why_unused
 from flamingolift_decisions.backends import eligible_backends, is_cold
 from flamingolift_decisions.routetable import match_route
 from flamingolift_decisions.serverpaths import is_cut_off
@@ -63,17 +64,16 @@
         order = rank_backends(cache, view, service, object_key)
         named = sorted(known, key=lambda b: order[b.entry.server_id])[:MAX_SERVERS]
         described = [
-            f"{b.entry.server_id} ({_condition(b, usable, now)})" for b in named
+            f"{b.entry.server_id} ({_condition(view, b, usable, now)})" for b in named
         ]
         sentences.append(f"Object {object_key} prefers {', '.join(described)}.")
     return sentences
 
 
-def _condition(backend, usable, now):
-    if backend.entry.state == "leaving":
-        return "leaving"
-    if now < backend.suspended_until:
-        return "suspended after failures"
+def _condition(view, backend, usable, now):
+    reason = why_unused(view, backend, now)
+    if reason is not None:
+        return reason.value
     if is_cold(backend, now):
         return "cold"
     return "in use" if backend.entry.server_id in usable else "out of service"
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -296,7 +296,8 @@
     """
     started = time.monotonic()
     server_id = backend.entry.server_id
-    send = SendRecord(server_id, rank, loads.estimate_load(backend, started))
+    load = loads.estimate_load(backend, started)
+    send = SendRecord(server_id, rank, load, backend.entry.started_ms)
     trace.tried.add(server_id)
     backends.record_send(front.view.backends, backend, started)
     if trace.attempts:
--- a/packages/front/src/flamingolift_front/pathwatch.py
+++ b/packages/front/src/flamingolift_front/pathwatch.py
@@ -5,7 +5,7 @@
 import math
 import time
 
-from flamingolift_decisions import backends
+from flamingolift_decisions import availability, backends
 
 from flamingolift_front import bytestream, helperlist
 from flamingolift_front.pathrecords import lost_services, note_connected
@@ -91,7 +91,7 @@
     usable = [
         backend
         for backend in view.by_service.get(service, ())
-        if backend.entry.state != "leaving"
+        if not availability.is_leaving(backend)
         and backend.entry.failure_domain not in view.evacuations
     ]
     warm = [backend for backend in usable if not backends.is_cold(backend, now)]
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -12,18 +12,29 @@
         server_id: Id of the server.
         rank: Rank of the server in the rendezvous order of the object.
         load: Estimated requests on the server before the send (count).
+        started_ms: Start of the server by its entry at that time (ms since the epoch).
         sent: Whether a connection was made and bytes of the request written to it.
         reused: Whether it was sent on a connection that had been idle.
         outcome: Outcome.
         elapsed_ms: Time that the send took (ms).
     """
 
-    __slots__ = ("elapsed_ms", "load", "outcome", "rank", "reused", "sent", "server_id")
+    __slots__ = (
+        "elapsed_ms",
+        "load",
+        "outcome",
+        "rank",
+        "reused",
+        "sent",
+        "server_id",
+        "started_ms",
+    )
 
-    def __init__(self, server_id, rank, load):
+    def __init__(self, server_id, rank, load, started_ms):
         self.server_id = server_id
         self.rank = rank
         self.load = load
+        self.started_ms = started_ms
         self.sent = False
         self.reused = False
         self.outcome = Outcome.CANCELLED
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -4,7 +4,7 @@
 
 from flamingolift_decisions import attempttimeout, backends, loads
 
-from flamingolift_front import httpcall, limitgrants, serverpool
+from flamingolift_front import httpcall, limitgrants, servernotices, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import note_answered, note_unreached
@@ -58,6 +58,7 @@
         _record_load(front, backend, outcome, headers, now)
         named = header(headers, front.header_names.limit)
         limitgrants.observe_answer(front, backend, named, now)
+        servernotices.observe_answer(front, send, headers)
         return
     # A connection that was idle may have lost its path since, without a sign of it.
     silent = outcome in _UNREACHED or (outcome in _NO_ANSWER and send.reused)
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -135,6 +135,11 @@
         "peer",
         "cause",
     ),
+    "server_leaving": (
+        "server",
+        "started",
+        "source",
+    ),
     "server_limit_changed": (
         "server",
         "change",
--- a/packages/model/src/flamingolift_model/frontsettings.py
+++ b/packages/model/src/flamingolift_model/frontsettings.py
@@ -129,12 +129,14 @@
         expected_server: Id of the only backend server that may run the request.
         load: Load report: running requests, waiting requests and slots, separated by commas.
         limit: Requests that the backend server takes from all instances together (1/s), while it is present.
+        leaving: Is 1 in all answers of a backend server that leaves.
         not_run: Present when the backend server did not run the request.
     """
 
     __slots__ = (
         "deadline_ms",
         "expected_server",
+        "leaving",
         "limit",
         "load",
         "not_run",
@@ -148,6 +150,7 @@
         Field("expected_server", "str", default="expected-server"),
         Field("load", "str", default="server-load"),
         Field("limit", "str", default="server-limit"),
+        Field("leaving", "str", default="server-leaving"),
         Field("not_run", "str", default="request-not-run"),
     )
 
@@ -160,6 +163,7 @@
         expected_server="expected-server",
         load="server-load",
         limit="server-limit",
+        leaving="server-leaving",
         not_run="request-not-run",
     ):
         super().__init__()
@@ -169,6 +173,7 @@
         self.expected_server = expected_server
         self.load = load
         self.limit = limit
+        self.leaving = leaving
         self.not_run = not_run
 
 
