Send nothing to a server for as long as it asks for quiet

What callers saw: a server that answered 503 with Retry-After went on getting requests at once, and refused them too.

Cause: Retry-After of a server was passed on but not obeyed. The time is now kept with the server's start, and why_unused names it, so that the choice of a server, retries and the check after a grant leave the server out until its end. When no server can take a request and some are quiet, callers are refused at once as not run, with a pause from the shortest remaining time, spread, within what they can wait.

--- a/packages/decisions/src/flamingolift_decisions/availability.py
+++ b/packages/decisions/src/flamingolift_decisions/availability.py
@@ -1,16 +1,22 @@
 """Whether a backend server may be sent requests now, and the reason if not."""
 
 import enum
+import math
 
 __all__ = [
     "ServerNotice",
     "Unused",
     "is_in_use",
     "is_leaving",
+    "quiet_time_s",
+    "record_invalid_quiet",
     "record_leaving",
+    "record_quiet",
     "why_unused",
 ]
 
+MAX_QUIET_S = 60.0
+"""Longest time for which a server that asks for quiet gets no requests (s)."""
 MAX_NOTICES = 4096
 """Notices that are kept besides those of the servers in the view."""
 
@@ -21,6 +27,7 @@
     LEAVING = "leaving"
     SAID_LEAVING = "leaving by its own answer"
     EVACUATED = "out of service"
+    QUIET = "quiet by its own request"
     SUSPENDED = "suspended after failures"
 
 
@@ -29,12 +36,16 @@
 
     Attributes:
         is_leaving: Whether it said that it leaves.
+        quiet_until: End of the time for which it asked for no requests (s, monotonic).
+        is_invalid: Whether it named a time that cannot be used.
     """
 
-    __slots__ = ("is_leaving",)
+    __slots__ = ("is_invalid", "is_leaving", "quiet_until")
 
     def __init__(self):
         self.is_leaving = False
+        self.quiet_until = -math.inf
+        self.is_invalid = False
 
 
 def why_unused(view, backend, now):
@@ -56,6 +67,8 @@
         return Unused.SAID_LEAVING
     if entry.failure_domain in view.evacuations:
         return Unused.EVACUATED
+    if notice is not None and now < notice.quiet_until:
+        return Unused.QUIET
     if now < backend.suspended_until:
         return Unused.SUSPENDED
     return None
@@ -96,6 +109,62 @@
     return is_new
 
 
+def record_quiet(view, server_id, started_ms, duration_s, now):
+    """Records that a server asked for a time without requests.
+
+    Args:
+        view: BackendView.
+        server_id: Id of the server.
+        started_ms: Start of the server that asked (ms since the epoch).
+        duration_s: Length of the time (s); at most `MAX_QUIET_S` counts.
+        now: Current time (s, monotonic).
+
+    Returns:
+        Whether such a time begins, rather than goes on.
+    """
+    notice = _notice_for(view, server_id, started_ms)
+    begins = now >= notice.quiet_until
+    until = now + min(duration_s, MAX_QUIET_S)
+    notice.quiet_until = max(notice.quiet_until, until)
+    return begins
+
+
+def record_invalid_quiet(view, server_id, started_ms):
+    """Records that a server named a time that cannot be used.
+
+    Args:
+        view: BackendView.
+        server_id: Id of the server.
+        started_ms: Start of the server that named it (ms since the epoch).
+
+    Returns:
+        Whether it is the first one of that start.
+    """
+    notice = _notice_for(view, server_id, started_ms)
+    is_first = not notice.is_invalid
+    notice.is_invalid = True
+    return is_first
+
+
+def quiet_time_s(view, service, now):
+    """Returns the shortest time until a quiet server of a service may be used (s).
+
+    Args:
+        view: BackendView.
+        service: Service name.
+        now: Current time (s, monotonic).
+
+    Returns:
+        Time (s), or None when no server of the service is unused for that reason.
+    """
+    waits = [
+        backend.notice.quiet_until - now
+        for backend in view.by_service.get(service, ())
+        if why_unused(view, backend, now) is Unused.QUIET
+    ]
+    return min(waits, default=None)
+
+
 def _notice_for(view, server_id, started_ms):
     """Returns the ServerNotice of one start of a server, a new one if needed."""
     key = (server_id, started_ms)
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -8,6 +8,7 @@
     admission,
     affinity,
     attempttimeout,
+    availability,
     backends,
     loads,
     routetable,
@@ -20,6 +21,7 @@
 from flamingolift_front import handover, limitgrants, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.pathrecords import may_connect
+from flamingolift_front.refusals import quiet_fault, retryable_fault
 from flamingolift_front.requesttrace import SendRecord
 from flamingolift_front.sending import (
     CONNECT_TIMEOUT_S,
@@ -41,9 +43,6 @@
 """Remaining time below which no retry is started (s)."""
 MAX_CONNECT_FAILURES = 3
 """Failed connection attempts after which a request tries no further server."""
-RETRY_AFTER_S = (0.2, 0.6)
-"""Range of the Retry-After time of a rejected request (s). The time is drawn at
-random so that callers rejected together do not retry at the same moment."""
 MAX_WITHHELD = 4
 """Refused grants after which a request tries no further server that names a limit."""
 RETRIED_STATUSES = frozenset((500, 502, 503))
@@ -132,18 +131,6 @@
     )
 
 
-def retryable_fault(front, code, detail):
-    """Returns the Fault of a request that did not run, with a random pause.
-
-    Args:
-        front: Front.
-        code: ResultCode.
-        detail: Sentence about the cause.
-    """
-    pause_ms = front.rng.uniform(*RETRY_AFTER_S) * 1000.0
-    return Fault(code, detail, retry_after_ms=pause_ms)
-
-
 def _overload_fault(front, trace, cause, now):
     mean = loads.mean_load(front.view.backends, trace.service, now)
     detail = f"{cause}; mean load {mean:.2f}"
@@ -181,7 +168,11 @@
                 return Ok(forwarded)
         elif outcome in UNKNOWN_OUTCOMES and not route.idempotent:
             return Error(Fault(ResultCode.OUTCOME_UNKNOWN, "the response was lost"))
-    return Ok(last) if last is not None else Error(_final_fault(front, route, trace))
+    return (
+        Ok(last)
+        if last is not None
+        else Error(_final_fault(front, route, trace, deadline))
+    )
 
 
 def _may_still_send(front, route, trace, backend, deadline):
@@ -259,7 +250,7 @@
     )
 
 
-def _final_fault(front, route, trace):
+def _final_fault(front, route, trace, deadline):
     """Returns the Fault of a request for which there is no response."""
     if any(send.outcome in UNKNOWN_OUTCOMES for send in trace.sends):
         return Fault(ResultCode.BACKEND_FAILED, "no server sent a complete response")
@@ -280,6 +271,9 @@
             f" {withheld} of them at their limit"
         )
         return _overload_fault(front, trace, cause, now)
+    quiet_s = availability.quiet_time_s(view, trace.service, now)
+    if quiet_s is not None:
+        return quiet_fault(front, quiet_s, deadline - now)
     if trace.unreached:
         detail = "no server accepted a connection"
     else:
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -58,7 +58,7 @@
         _record_load(front, backend, outcome, headers, now)
         named = header(headers, front.header_names.limit)
         limitgrants.observe_answer(front, backend, named, now)
-        servernotices.observe_answer(front, send, headers)
+        servernotices.observe_answer(front, send, forwarded.response, now)
         return
     # A connection that was idle may have lost its path since, without a sign of it.
     silent = outcome in _UNREACHED or (outcome in _NO_ANSWER and send.reused)
--- a/packages/front/src/flamingolift_front/servernotices.py
+++ b/packages/front/src/flamingolift_front/servernotices.py
@@ -3,23 +3,45 @@
 from flamingolift_decisions import availability
 
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.httpcall import header
+from flamingolift_front.httpcall import header, parse_decimal
 
 __all__ = ["observe_answer"]
 
+MAX_RETRY_AFTER_S = 86400.0
+"""Time above which a figure is taken for an error (s)."""
+MAX_LOGGED_CHARS = 40
+"""Characters of a malformed header field that are logged."""
 
-def observe_answer(front, send, headers):
+
+def observe_answer(front, send, response, now):
     """Records what an answer says of the server that gave it.
 
     Args:
         front: Front.
         send: SendRecord of the request. The answer of a server's former start, which
             may end after its new one is known, says nothing of the new one.
-        headers: Header fields of the answer: list of (name, value), both bytes.
+        response: HttpResponse.
+        now: Current time (s, monotonic).
     """
-    value = header(headers, front.header_names.leaving, "")
+    value = header(response.headers, front.header_names.leaving, "")
     if value.strip() == "1":
         _observe_leaving(front, send.server_id, send.started_ms, "answer")
+    retry_after = header(response.headers, "retry-after")
+    if response.status == 503 and retry_after is not None:
+        _observe_quiet(front, send, retry_after, now)
+
+
+def _observe_quiet(front, send, value, now):
+    view, server_id = front.view.backends, send.server_id
+    duration_s = parse_decimal(value)
+    if duration_s is None or duration_s > MAX_RETRY_AFTER_S:
+        if availability.record_invalid_quiet(view, server_id, send.started_ms):
+            shown = value[:MAX_LOGGED_CHARS]
+            log_event(front.log, "server_quiet_invalid", server=server_id, value=shown)
+        return
+    if availability.record_quiet(view, server_id, send.started_ms, duration_s, now):
+        quiet_s = min(duration_s, availability.MAX_QUIET_S)
+        log_event(front.log, "server_quiet", server=server_id, quiet_s=quiet_s)
 
 
 def _observe_leaving(front, server_id, started_ms, source):
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -140,6 +140,14 @@
         "started",
         "source",
     ),
+    "server_quiet": (
+        "server",
+        "quiet_s",
+    ),
+    "server_quiet_invalid": (
+        "server",
+        "value",
+    ),
     "server_limit_changed": (
         "server",
         "change",
