--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -11,13 +11,15 @@
 
 from expression import Nothing, Option, Some
 
+from flamingolift_decisions.availability import is_in_use, why_unused
+
 __all__ = [
     "Backend",
     "BackendView",
     "apply_entry",
     "eligible_backends",
-    "end_evacuation",
     "end_suspension",
+    "extend_cold_period",
     "is_cold",
     "is_in_use",
     "is_withheld",
@@ -26,7 +28,6 @@
     "record_send",
     "record_timeout",
     "remove_entry",
-    "set_evacuations",
     "suspend_backend",
 ]
 
@@ -72,6 +73,7 @@
         grants: GrantBucket of this instance as a grantor, or None before its first use.
         next_grant_at: Earliest time of the next request while it names a limit (s,
             monotonic).
+        notice: ServerNotice of its present start, or None when it gave none.
     """
 
     __slots__ = (
@@ -88,6 +90,7 @@
         "lost",
         "next_cold_request_at",
         "next_grant_at",
+        "notice",
         "suspended_until",
         "trial_until",
     )
@@ -108,6 +111,7 @@
         self.limit_invalid = False
         self.grants = None
         self.next_grant_at = -math.inf
+        self.notice = None
 
 
 class BackendView:
@@ -120,6 +124,8 @@
         evacuations: Map of failure domain to Evacuation.
         services: Map of service name to ServiceSpec.
         instances: Number of instances that share the rates of cold servers.
+        notices: Map of (server id, start of the server) to ServerNotice; it outlives
+            the removal of an entry, which may come back.
         rng: Random number generator for pauses and for load shedding, so that the
             instances do not act in step.
         mean_loads: Map of service name to a tuple of its mean load (ratio) and
@@ -133,6 +139,7 @@
         "generation",
         "instances",
         "mean_loads",
+        "notices",
         "rng",
         "services",
     )
@@ -144,6 +151,7 @@
         self.evacuations = {}
         self.services = {}
         self.instances = 1
+        self.notices = {}
         self.rng = rng or random.Random()
         self.mean_loads = {}
 
@@ -167,7 +175,8 @@
     backend = view.backends.get(entry.server_id)
     if backend is None:
         backend = view.backends[entry.server_id] = Backend(entry)
-        _extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
+        backend.notice = view.notices.get((entry.server_id, entry.started_ms))
+        extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
         _reindex(view)
         return Some("joined")
     before, backend.entry = backend.entry, entry
@@ -178,11 +187,12 @@
         backend.failures = backend.lost = backend.late = 0
         backend.limit, backend.limit_invalid = None, False
         backend.grants, backend.next_grant_at = None, -math.inf
+        backend.notice = view.notices.get((entry.server_id, entry.started_ms))
         spec = view.services.get(entry.service)
         cold_s = max(entry.cold_ms, spec.cold_ms if spec else 0.0) / 1000.0
-        _extend_cold_period(view, backend, cold_s, now)
+        extend_cold_period(view, backend, cold_s, now)
         return Some("restarted")
-    _extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
+    extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
     if before.state != entry.state:
         return Some("leaving" if entry.state == "leaving" else "returned")
     return Nothing
@@ -206,8 +216,15 @@
     view.generation += 1
 
 
-def _extend_cold_period(view, backend, duration_s, now):
-    """Marks a server as cold for a time from now."""
+def extend_cold_period(view, backend, duration_s, now):
+    """Marks a server as cold for a time from now.
+
+    Args:
+        view: BackendView.
+        backend: Backend.
+        duration_s: Length of the time (s).
+        now: Current time (s, monotonic).
+    """
     if duration_s <= 0.0:
         return
     if not is_cold(backend, now):
@@ -239,57 +256,11 @@
     return backend
 
 
-def set_evacuations(view, evacuations, now):
-    """Applies the evacuations in force, which take failure domains out of service.
-
-    Args:
-        view: BackendView.
-        evacuations: Map of failure domain to Evacuation.
-        now: Current time (s, monotonic).
-
-    Returns:
-        Tuple of the failure domains newly evacuated and those whose evacuation ended.
-    """
-    added = sorted(set(evacuations) - set(view.evacuations))
-    ended = sorted(set(view.evacuations) - set(evacuations))
-    view.evacuations = dict(evacuations)
-    for failure_domain in ended:
-        end_evacuation(view, failure_domain, now)
-    return added, ended
-
-
-def end_evacuation(view, failure_domain, now):
-    """Treats the servers of a failure domain as cold after its evacuation.
-
-    Args:
-        view: BackendView.
-        failure_domain: Failure domain whose evacuation ended.
-        now: Current time (s, monotonic).
-
-    Notes:
-        They had no traffic, so that they may be cold although their entries do not
-        say so yet.
-    """
-    for backend in view.backends.values():
-        if backend.entry.failure_domain != failure_domain:
-            continue
-        spec = view.services.get(backend.entry.service)
-        _extend_cold_period(view, backend, spec.cold_ms / 1000.0 if spec else 0.0, now)
-
-
 def is_cold(backend, now):
     """Returns whether a server is cold, or may be cold after a suspension."""
     return now < backend.cold_until or now < backend.trial_until
 
 
-def is_in_use(view, backend, now):
-    """Returns whether a server is neither leaving, evacuated nor suspended."""
-    entry = backend.entry
-    if entry.state == "leaving" or entry.failure_domain in view.evacuations:
-        return False
-    return now >= backend.suspended_until
-
-
 def eligible_backends(view, service, route, now):
     """Lists the servers that may take a request now.
 
@@ -308,7 +279,7 @@
     for backend in view.by_service.get(service, ()):
         if homes and backend.entry.region not in homes:
             continue
-        if not is_in_use(view, backend, now):
+        if why_unused(view, backend, now) is not None:
             continue
         if not is_cold(backend, now):
             warm.append(backend)
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -12,6 +12,7 @@
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
+from flamingolift_front.refusals import retryable_fault
 from flamingolift_front.requestreading import read_request
 from flamingolift_front.requesttrace import Trace, may_have_run
 from flamingolift_front.responses import problem_response
@@ -160,7 +161,7 @@
     if may_have_run(conn.trace):
         fault = Fault(codes[1], f"{cause} during the request")
     else:
-        fault = forwarding.retryable_fault(front, codes[0], f"{cause} before a send")
+        fault = retryable_fault(front, codes[0], f"{cause} before a send")
     conn.parser = _make_answering_parser(conn.req.method)
     status = RESULT_CODE_INFO[fault.code].status
     _log_request(front, conn.req, conn.trace, fault.code.name, status, cause)
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -139,6 +139,19 @@
         "peer",
         "cause",
     ),
+    "server_leaving": (
+        "server",
+        "started",
+        "source",
+    ),
+    "server_quiet": (
+        "server",
+        "quiet_s",
+    ),
+    "server_quiet_invalid": (
+        "server",
+        "value",
+    ),
     "server_limit_changed": (
         "server",
         "change",
