--- a/tools/bite.py
+++ b/tools/bite.py
@@ -157,15 +157,15 @@
         f"{PATH}::test_overdue_request_goes_to_another_server",
     ),
     "F7 ignore that a server leaves": (
-        [(f"{DECISIONS}/backends.py", 'if entry.state == "leaving" or', "if")],
+        [(f"{DECISIONS}/availability.py", 'if entry.state == "leaving":', "if False:")],
         f"{VIEW}::test_draining_server_gets_no_new_requests",
     ),
     "F8 accept policies with older numbers": (
         [
             (
                 f"{FRONT}/viewsync.py",
-                "policy.number <= view.table.number",
-                "policy.number == -1",
+                "return policy.number < table.number",
+                "return False",
             )
         ],
         f"{VIEW}::test_configuration_takes_effect_and_never_reverts",
@@ -193,7 +193,7 @@
     "F11 trust a relay that has stopped": (
         [
             (
-                f"{FRONT}/viewsource.py",
+                f"{FRONT}/relaysync.py",
                 "if relay_failed and not await _any_relay_responds(front, relays, failing):",
                 "if len(failing) == len(relays):",
             )
@@ -212,7 +212,14 @@
         "test_fleet_recovers_within_seconds_of_a_long_overload",
     ),
     "F13 stop at once": (
-        [(f"{FRONT}/run.py", "grace_s = front.cfg.grace_s", "grace_s = 0.0")],
+        [
+            (
+                f"{FRONT}/run.py",
+                "front.exit_at = started + front.cfg.grace_s - EXIT_MARGIN_S",
+                "front.exit_at = started",
+            ),
+            (f"{FRONT}/run.py", "front.cfg.grace_s * ACCEPT_SHARE", "0.0"),
+        ],
         f"{PATH}::test_graceful_stop_completes_running_requests_and_exits_in_time",
     ),
     "F14 trust each watch": (
@@ -280,6 +287,51 @@
         f"{FRONT}/tests/test_viewupdates.py::"
         "test_relay_that_reads_a_snapshot_sends_the_difference",
     ),
+    "F22 refuse while the instance is cut off": (
+        [
+            (
+                f"{FRONT}/handover.py",
+                "    if not may_connect(front, trace.service):\n        return True\n",
+                "    return False\n",
+            )
+        ],
+        "integration/test_cut_off.py::test_booking_is_handed_on_and_runs_once",
+    ),
+    "F23 hand a request on from each instance": (
+        [
+            (
+                f"{FRONT}/handover.py",
+                "if req.attempts_left is not None or",
+                "if",
+            )
+        ],
+        "integration/test_cut_off.py::test_request_that_was_handed_on_goes_no_further",
+    ),
+    "F24 close idle connections by a timer alone": (
+        [
+            (
+                f"{FRONT}/bytestream.py",
+                "    return bool(stream.buffer) or stream.ended\n\n\ndef wake",
+                "    return loop_time() < ends_at\n\n\ndef wake",
+            ),
+            (
+                f"{FRONT}/bytestream.py",
+                "import socket\n",
+                "import socket\nfrom time import monotonic as loop_time\n",
+            ),
+        ],
+        f"{FRONT}/tests/test_unanswered_requests.py",
+    ),
+    "F25 ignore a server that says that it leaves": (
+        [
+            (
+                f"{FRONT}/servernotices.py",
+                'if value.strip() == "1":',
+                "if False:",
+            )
+        ],
+        "integration/test_leaving_servers.py",
+    ),
 }
 
 
