--- a/packages/daemon/src/flamingolift_daemon/tests/test_silent_connections.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_silent_connections.py
@@ -6,7 +6,6 @@
 import time
 
 import pytest
-from droppedpackets import drop_packets
 from flamingolift_daemon import httpserver
 from flamingolift_daemon.backendclient import (
     BackendClients,
@@ -20,6 +19,7 @@
 from flamingolift_daemon.metrics import Metrics
 from flamingolift_daemon.operatorapi import make_operator_app
 from flamingolift_daemon.sockets import SLOW_READER_TIMEOUT_MS
+from flamingolift_standins.silentpeer import drop_packets
 from localinstance import (
     HOST,
     LONG_S,
--- a/packages/daemon/src/flamingolift_daemon/tests/test_silent_peers.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_silent_peers.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from droppedpackets import drop_packets
 from flamingolift_daemon import heartbeats
 from flamingolift_daemon.instance import start_task
 from flamingolift_daemon.peerlinks import call_peer
 from flamingolift_model import ResultCode, peer
+from flamingolift_standins.silentpeer import drop_packets
 from localinstance import LONG_S, WAIT_S
 from test_peer_errors import run_pair
 
--- a/packages/front/src/flamingolift_front/tests/test_silentpeers.py
+++ b/packages/front/src/flamingolift_front/tests/test_silentpeers.py
@@ -6,7 +6,7 @@
 
 import pytest
 from flamingolift_front import bytestream, peerlink
-from silentpeer import drop_packets, socket_options
+from flamingolift_standins.silentpeer import drop_packets, socket_options
 
 PROBE_S = 1.0
 """Shortest interval of keep-alive probes that Linux allows (s)."""
--- a/packages/front/src/flamingolift_front/tests/silentpeer.py
+++ b/standins/src/flamingolift_standins/silentpeer.py
@@ -3,6 +3,8 @@
 import ctypes
 import socket
 
+__all__ = ["drop_packets", "socket_options"]
+
 SO_ATTACH_FILTER = 26
 RETURN_NOTHING = b"\x06\x00\x00\x00\x00\x00\x00\x00"
 """One classic BPF instruction, `BPF_RET | BPF_K` with 0: it drops each packet."""
