--- a/integration/cutsites.py
+++ b/integration/cutsites.py
@@ -10,9 +10,10 @@
 from flamingolift_front import bytestream, pathwatch, run
 from flamingolift_front.eventlog import EventLog, flush_log
 from flamingolift_front.frontmetrics import FrontMetrics
+from flamingolift_front.registration import own_entry
 from flamingolift_front.state import Front
 from flamingolift_model.frontsettings import FrontSettings
-from flamingolift_model.plan import BackendEntry, InstanceEntry
+from flamingolift_model.plan import BackendEntry
 from flamingolift_model.routing import (
     Route,
     RoutingPolicy,
@@ -155,20 +156,6 @@
     return instance
 
 
-def _entry(front):
-    cfg = front.cfg
-    return InstanceEntry(
-        instance_id=cfg.instance_id,
-        region=cfg.region,
-        failure_domain=cfg.failure_domain,
-        host=cfg.host,
-        caller_port=cfg.caller_port,
-        peer_port=cfg.peer_port,
-        operator_port=1,
-        handover_port=cfg.handover_port,
-    )
-
-
 async def _stop_instance(instance):
     front = instance.front
     for listener in instance.listeners:
@@ -201,7 +188,7 @@
     for instance in site.instances:
         view = instance.front.view
         for other in site.instances:
-            entry = _entry(other.front)
+            entry = own_entry(other.front)
             view.instances[entry.instance_id] = entry
     try:
         yield site
