Log which request a lost answer belongs to

The logs could not tell whether two requests are the same one that comes again, so that the hypotheses of the incident could not be told apart. answer_lost and the request_done line of a failure name a fingerprint of the request: host, method, target, caller and body, without the request's id. answer_lost also says how many requests of the instance were on the server. No decision changes.

--- a/packages/decisions/src/flamingolift_decisions/hashing.py
+++ b/packages/decisions/src/flamingolift_decisions/hashing.py
@@ -33,7 +33,7 @@
     return (digest + 0.5) / _HASH_SPAN
 
 
-def digest_request(service, method, target, body):
+def digest_request(service, method, target, body, *fields):
     """Digests a request, to tell a retry of it from another request under the same key.
 
     Args:
@@ -41,13 +41,15 @@
         method: HTTP method.
         target: Path and query.
         body: Body, or other data that identifies the request (bytes).
+        *fields: Further values that identify the request (bytes), such as the caller's
+            credentials.
 
     Returns:
         Cryptographic digest of 16 bytes: no other request with the same digest can
         feasibly be made.
     """
     digest = hashlib.blake2b(digest_size=16)
-    for part in (service.encode(), method.encode(), target.encode(), body):
+    for part in (service.encode(), method.encode(), target.encode(), body, *fields):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -11,6 +11,7 @@
 
 from flamingolift_front import bytestream, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
 from flamingolift_front.refusals import retryable_fault
 from flamingolift_front.requestreading import read_request
@@ -266,10 +267,11 @@
     elapsed_s = time.monotonic() - req.received_at
     front.metrics.requests.labels(trace.route, outcome).inc()
     front.metrics.latency.labels(trace.service).observe(elapsed_s)
+    failure = outcome != "answered" or status >= 500
     log_event(
         front.log,
         "request_done",
-        failure=outcome != "answered" or status >= 500,
+        failure=failure,
         id=req.request_id,
         outcome=outcome,
         status=status,
@@ -282,6 +284,7 @@
         withheld=trace.withheld,
         handed_to=trace.handed_to,
         detail=detail,
+        fingerprint=fingerprint_of(req) if failure and trace.sends else "",
     )
 
 
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -8,6 +8,7 @@
 
 from flamingolift_front import bytestream, httpcall, serverpool
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import note_connected
 
@@ -85,12 +86,15 @@
         deadline_at: Time at which the caller stops waiting (s, monotonic).
         attempts_left: Number of servers to which a request that another instance
             handed on may still be sent; None for a caller's own request.
+        fingerprint: Digest that equal requests share (hexadecimal); empty until it is
+            needed.
     """
 
     __slots__ = (
         "attempts_left",
         "body",
         "deadline_at",
+        "fingerprint",
         "headers",
         "host",
         "method",
@@ -123,6 +127,7 @@
         self.received_at = received_at
         self.deadline_at = deadline_at
         self.attempts_left = attempts_left
+        self.fingerprint = ""
 
 
 class ForwardedResponse:
@@ -197,6 +202,8 @@
             id=req.request_id,
             server=entry.server_id,
             cause=str(exc) or type(exc).__name__,
+            fingerprint=fingerprint_of(req),
+            in_flight=backend.in_flight,
         )
         silent = isinstance(exc, bytestream.PeerTimeoutError)
         return Outcome.SILENT if silent else Outcome.LOST, None
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -176,6 +176,8 @@
         "id",
         "server",
         "cause",
+        "fingerprint",
+        "in_flight",
     ),
     "send_overdue": (
         "id",
@@ -201,6 +203,7 @@
         "withheld",
         "handed_to",
         "detail",
+        "fingerprint",
     ),
 }
 """Map of each event's name to the names of its fields."""
