--- a/standins/src/flamingolift_standins/platformserver.py
+++ b/standins/src/flamingolift_standins/platformserver.py
@@ -43,6 +43,9 @@
         server_id: Id; requests must name it in Expect-Instance.
         port: TCP port.
         work_s: Processing time of a request (s).
+        crash_path: Start of the paths whose requests end the server after `work_s`;
+            empty for none.
+        ended_at: Time at which a request ended it (s, monotonic); None while it runs.
         limit: Value of Server-Limit in its answers; None names no limit.
         leaving: Whether all its answers say Server-Leaving.
         retry_after: Value of Retry-After in its rejections; None for none.
@@ -60,6 +63,8 @@
 
     __slots__ = (
         "connections",
+        "crash_path",
+        "ended_at",
         "leaving",
         "limit",
         "port",
@@ -74,6 +79,8 @@
     def __init__(self, server_id, work_s):
         self.server_id = server_id
         self.work_s = work_s
+        self.crash_path = ""
+        self.ended_at = None
         self.limit = None
         self.leaving = False
         self.retry_after = None
@@ -109,6 +116,15 @@
     await state.server.wait_closed()
 
 
+def _crash(state):
+    """Ends a server as the end of its process does."""
+    if state.ended_at is None:
+        state.ended_at = time.monotonic()
+        state.server.close()
+    for writer in list(state.connections):
+        writer.transport.abort()
+
+
 async def _serve_request(state, reader, writer):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     line, *fields = head.strip().split("\r\n")
@@ -126,6 +142,11 @@
         request.ended = "cut"
         writer.transport.abort()
         return False
+    if state.crash_path and line.split()[1].startswith(state.crash_path):
+        request.ended = "crashed"
+        await asyncio.sleep(state.work_s)
+        _crash(state)
+        return False
     if not await _run_request(state, reader, request, action):
         return False
     if callable(action):
