Hold a request under which backend servers ended, on all instances

Cause: the front remembered nothing of the requests that were in flight when a server ended. Each attempt of the caller began anew on any instance. Only the daemon had a record, decided by each dispatcher for its own pool. Class of fault: a bound that is meant for the fleet is kept by each part, or by none.

Change: decisions/crashrecord.py is the one record of ends and suspects, for the front and the daemon, a set that only grows, so that instances merge it in any order. A lost answer counts only when the server refuses connections right after. quarantine.py makes the verdict: three ends, unless a request with more ends explains them; a success clears, an earlier success decides between two that always travel together and shortens the pause. A held request is refused at once with 503, code 2011, and tried again by the one instance that coordinates it, with growing pauses. Instances tell a few random peers of a change, and compare digests with a peer once a second; the store is not asked. A peer of an older build answers 404 and is left out for 30 s.

Replaced test: two requests that are always in flight together were never quarantined. That lets them end servers without limit, so both are now held at the third end and told apart by their trials; the new test asserts both verdicts.

--- a/packages/daemon/src/flamingolift_daemon/instance.py
+++ b/packages/daemon/src/flamingolift_daemon/instance.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from flamingolift_decisions.bookings import BookingTable
+from flamingolift_decisions.crashrecord import CrashRecord
 from flamingolift_decisions.documents import LatestDocuments
 from flamingolift_decisions.membership import Membership, serving_instances
-from flamingolift_decisions.quarantine import CrashLog
 from flamingolift_decisions.shifts import ShiftLimiter
 from flamingolift_model.plan import InstanceEntry
 
@@ -42,7 +42,7 @@
         shift_limiter: ShiftLimiter with the rows in force.
         bookings: BookingTable.
         booking_futures: Map of idempotency key to the future of its outcome.
-        crash_log: CrashLog of quarantined fingerprints, from all dispatchers.
+        crash_log: CrashRecord of quarantined fingerprints, from all dispatchers.
         pools: Map of (service, region) to SlotPool that this instance
             dispatches.
         held_slots: Map of (service, region) to the set of Slots in use here.
@@ -147,7 +147,7 @@
             cfg.booking_table_size, cfg.booking_table_bytes, cfg.key_lifetime_s
         )
         self.booking_futures = {}
-        self.crash_log = CrashLog(cfg.quarantine_s)
+        self.crash_log = CrashRecord(cfg.quarantine_s)
         self.pools = {}
         self.held_slots = {}
         self.links = {}
--- a/packages/daemon/src/flamingolift_daemon/operatorapi.py
+++ b/packages/daemon/src/flamingolift_daemon/operatorapi.py
@@ -3,6 +3,7 @@
 from flamingolift_decisions.documents import versions
 from flamingolift_decisions.policyrules import explain_match
 from flamingolift_decisions.pool import pool_capacity
+from flamingolift_decisions.quarantine import current_holds
 from flamingolift_decisions.servers import usable_slots
 from flamingolift_decisions.steering import block_of, origin_of
 from flamingolift_model import Fault, FaultError, ResultCode
@@ -70,13 +71,19 @@
             f"{service}@{region}": len(slots)
             for (service, region), slots in sorted(instance.held_slots.items())
         },
-        "quarantined": sorted(instance.crash_log.quarantined),
+        "quarantined": _quarantined(instance, now),
         "bookings": len(instance.bookings.records),
         "store_calls": instance.store.calls,
         "counters": dict(sorted(instance.metrics.totals.items())),
     }
 
 
+def _quarantined(instance, now):
+    """Returns the fingerprints of the requests in quarantine, sorted."""
+    held = {hold.fingerprint for hold in current_holds(instance.crash_log, now)}
+    return sorted(held.union(instance.crash_log.announced))
+
+
 def _render_pool(key, pool, now):
     service, region = key
     return {
--- a/packages/daemon/src/flamingolift_daemon/tests/test_forwarding.py
+++ b/packages/daemon/src/flamingolift_daemon/tests/test_forwarding.py
@@ -8,8 +8,9 @@
 from flamingolift_daemon.forwarding import CallerRequest, forward_request
 from flamingolift_daemon.metrics import Metrics
 from flamingolift_daemon.waits import WaitGroup
+from flamingolift_decisions.crashrecord import CrashRecord
 from flamingolift_decisions.policyrules import ServiceRules
-from flamingolift_decisions.quarantine import CrashLog, add_quarantine
+from flamingolift_decisions.quarantine import add_quarantine
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 from flamingolift_model.policy import Service
 
@@ -20,7 +21,7 @@
     def __init__(self):
         self.clock = Clock()
         self.metrics = Metrics("", 0)
-        self.crash_log = CrashLog()
+        self.crash_log = CrashRecord()
         self.budgets = {}
         self.backends = None
         self.held_slots = {}
--- a/packages/decisions/src/flamingolift_decisions/pool.py
+++ b/packages/decisions/src/flamingolift_decisions/pool.py
@@ -3,6 +3,7 @@
 from expression import Error, Ok, Result
 from flamingolift_model import Fault, ResultCode
 
+from flamingolift_decisions.crashrecord import CrashRecord, record_success
 from flamingolift_decisions.fairness import (
     FairQueue,
     drop_expired,
@@ -10,10 +11,9 @@
     push_waiter,
 )
 from flamingolift_decisions.quarantine import (
-    CrashLog,
     is_quarantined,
     record_crash,
-    record_success,
+    take_trial,
 )
 from flamingolift_decisions.servers import (
     BackendServer,
@@ -105,7 +105,7 @@
         servers: Map of backend server name to BackendServer.
         grants: Map of grant id to Grant.
         queue: FairQueue of the requests that wait for a slot.
-        crashes: CrashLog of the pool's backend servers.
+        crashes: CrashRecord of the pool's backend servers.
         next_grant_id: Id of the next grant.
         recovering_until: End of the time in which a new dispatcher grants only half
             of the slots, until it has learned which ones are in use (s, monotonic).
@@ -128,7 +128,7 @@
         self.servers = {}
         self.grants = {}
         self.queue = FairQueue(MIN_QUEUE_CAPACITY, service.tenant_share)
-        self.crashes = CrashLog()
+        self.crashes = CrashRecord()
         self.next_grant_id = first_grant_id
         self.started_at = now
         self.recovering_until = now + recovery_s
@@ -242,7 +242,11 @@
         Ok with a Grant, Ok with a Waiter when queued, or Error with a Fault, after
         which nothing was run. Queued requests are served before new ones.
     """
-    if is_quarantined(pool.crashes, request.fingerprint, now):
+    fingerprint = request.fingerprint
+    if (
+        is_quarantined(pool.crashes, fingerprint, now)
+        or take_trial(pool.crashes, fingerprint, now) > 0.0
+    ):
         return Error(Fault(ResultCode.QUARANTINED, "crashed backend servers", 0))
     if request.is_cross_region and not _has_cross_region_slot(pool, now):
         return Error(Fault(ResultCode.OVERLOADED, "no spare slot", RETRY_AFTER_MS))
@@ -321,7 +325,7 @@
     server.granted -= 1
     record_outcome(server, outcome, elapsed_ms, now)
     if outcome == "ok" and grant.request.fingerprint:
-        record_success(pool.crashes, grant.request.fingerprint)
+        record_success(pool.crashes, grant.request.fingerprint, now)
     if outcome != "crashed":
         return None
     name = server.entry.server_id
--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -1,120 +1,250 @@
-"""Quarantine of requests that crash the backend servers that run them."""
+"""Quarantine of requests that end the backend servers that run them.
+
+A request is held when servers ended under it and nothing else explains these ends. A
+held request is tried again after a pause, by one instance; each trial that ends one
+more server makes the next pause longer.
+"""
+
+from flamingolift_decisions.crashrecord import (
+    Suspicion,
+    ends_of,
+    find_merged_key,
+    is_known_good,
+    record_end,
+)
 
 __all__ = [
-    "CrashLog",
+    "Hold",
+    "HoldException",
     "add_quarantine",
+    "current_holds",
+    "find_hold",
     "is_quarantined",
+    "may_end_more",
     "record_crash",
-    "record_success",
     "remaining_quarantine_s",
+    "set_exception",
+    "take_trial",
 ]
 
-CRASH_RETENTION_S = 120.0
-"""Time for which a crash is kept for comparison with later ones (s)."""
-MERGE_WINDOW_S = 1.0
-"""Reports about one server within this time count as one crash (s)."""
-MIN_CRASHES = 2
-"""Number of crashes at which a request was in flight before it is quarantined."""
-MAX_CRASHES = 64
-MAX_QUARANTINED = 1024
+HELD_ENDS = 3
+"""Number of ends from which a request is held, unless another one explains them."""
+PAUSE_FACTORS = (1.0, 5.0, 30.0, 60.0)
+"""Pauses before the first and each later trial, relative to the first (ratio)."""
+KNOWN_GOOD_PAUSE_S = 2.0
+"""Pause before the first trial of a request that had succeeded before (s): it was
+probably in flight by accident."""
+TRIAL_SPACING_S = 30.0
+"""Time after a trial without a result from which there may be another one (s)."""
+MAX_ANNOUNCED = 1024
+"""Quarantines of other instances that are kept."""
+MAX_EXCEPTIONS = 256
+"""Exceptions of the operator that are kept."""
 
 
-class Crash:
-    """One crash of a backend server.
+class Hold:
+    """Verdict on a request that is held.
 
     Attributes:
-        server_id: Backend server name.
-        at: Time of the first report (s, monotonic).
-        suspects: Set of fingerprints that were in flight on it and have not
-            succeeded since.
+        fingerprint: Fingerprint of the request.
+        service: Service name; empty for an operator's exception.
+        ends: List of the ServerEnd that count against it, oldest first.
+        since: Time of the end that decided (s, monotonic).
+        until: Time from which it may be tried (s, monotonic).
+        reason: Why it is held, in words to be read out to a caller.
     """
 
-    __slots__ = ("at", "server_id", "suspects")
+    __slots__ = ("ends", "fingerprint", "reason", "service", "since", "until")
 
-    def __init__(self, server_id, at, suspects):
-        self.server_id = server_id
-        self.at = at
-        self.suspects = suspects
+    def __init__(self, fingerprint, service, ends, since, until, reason):
+        self.fingerprint = fingerprint
+        self.service = service
+        self.ends = ends
+        self.since = since
+        self.until = until
+        self.reason = reason
 
 
-class CrashLog:
-    """Recent crashes and the fingerprints in quarantine.
+class HoldException:
+    """An operator's exception for one request.
 
     Attributes:
-        crashes: List of Crash, oldest first.
-        quarantined: Map of fingerprint to the end of its quarantine (s,
-            monotonic).
-        quarantine_s: Duration of a quarantine (s).
+        is_hold: Whether the request is held; otherwise it is let through.
+        reason: Reason, in words to be read out to a caller.
+        number: Number that orders exceptions for the same request.
+        set_at: Time at which it was heard of (s, monotonic).
+        until: End of the exception (s, monotonic).
     """
 
-    __slots__ = ("crashes", "quarantine_s", "quarantined")
+    __slots__ = ("is_hold", "number", "reason", "set_at", "until")
 
-    def __init__(self, quarantine_s=60.0):
-        self.crashes = []
-        self.quarantined = {}
-        self.quarantine_s = quarantine_s
+    def __init__(self, is_hold, reason, number, set_at, until):
+        self.is_hold = is_hold
+        self.reason = reason
+        self.number = number
+        self.set_at = set_at
+        self.until = until
 
 
-def record_crash(log, server_id, suspects, now):
-    """Records a crash and decides whether one request caused it.
+def find_hold(record, fingerprint, now):
+    """Returns the Hold of a request, or None when it may be sent.
 
     Args:
-        log: CrashLog.
-        server_id: Backend server name.
-        suspects: Set of fingerprints in flight on the server.
+        record: CrashRecord.
+        fingerprint: Fingerprint of the request.
         now: Current time (s, monotonic).
 
     Returns:
-        Fingerprint that is now in quarantine, or None. A request is quarantined
-        when at least `MIN_CRASHES` recent crashes have it as a suspect and no other
-        request is a suspect of all of these, so that requests that were in flight
-        at only some of them are not.
+        Hold, or None. When its `until` has passed, the request may be sent by the
+        instance to which `take_trial` grants the trial.
     """
-    log.crashes = [c for c in log.crashes if now - c.at < CRASH_RETENTION_S]
-    merged = _merge_report(log, server_id, suspects, now)
-    for fingerprint in sorted(merged.suspects):
-        shared = [c for c in log.crashes if fingerprint in c.suspects]
-        if len(shared) < MIN_CRASHES:
-            continue
-        common = set.intersection(*(c.suspects for c in shared))
-        if common == {fingerprint}:
-            add_quarantine(log, fingerprint, log.quarantine_s, now)
-            return fingerprint
-    return None
+    exception = record.exceptions.get(fingerprint)
+    if exception is not None and now < exception.until:
+        if not exception.is_hold:
+            return None
+        since, until = exception.set_at, exception.until
+        return Hold(fingerprint, "", [], since, until, exception.reason)
+    if fingerprint not in record.keys_of:
+        return None
+    ends = ends_of(record, fingerprint, now)
+    if not _is_to_blame(record, fingerprint, ends, now):
+        return None
+    decided = min(len(ends), HELD_ENDS)
+    until = ends[-1].at + _pause_s(record, fingerprint, ends)
+    reason = f"{len(ends)} servers of {ends[0].service} ended under the request"
+    return Hold(fingerprint, ends[0].service, ends, ends[decided - 1].at, until, reason)
+
+
+def _is_to_blame(record, fingerprint, ends, now):
+    """Returns whether the ends under a request are to be put down to it."""
+    if len(ends) >= HELD_ENDS:
+        return not _is_explained(record, fingerprint, ends, now)
+    if len(ends) < record.min_ends:
+        return False
+    common = set.intersection(*(_uncleared(end) for end in ends))
+    return common == {fingerprint}
 
 
-def record_success(log, fingerprint):
-    """Removes a request that succeeded from the suspects of all recent crashes.
+def _uncleared(end):
+    return {f for f, s in end.suspects.items() if not s & Suspicion.CLEARED}
+
+
+def _is_explained(record, fingerprint, ends, now):
+    """Returns whether requests that ended more servers explain all these ends.
+
+    Between requests under which the same servers ended, one that had succeeded before
+    is explained by one that had not.
+    """
+    is_good = is_known_good(ends, fingerprint)
+    left = {(end.server_id, end.started_ms) for end in ends}
+    for other in {f for end in ends for f in _uncleared(end)} - {fingerprint}:
+        other_ends = ends_of(record, other, now)
+        is_worse = is_good and not is_known_good(other_ends, other)
+        if len(other_ends) > len(ends) or (len(other_ends) == len(ends) and is_worse):
+            left -= {(end.server_id, end.started_ms) for end in other_ends}
+    return not left
+
+
+def _pause_s(record, fingerprint, ends):
+    """Returns the time from the last end to the next trial (s)."""
+    failed = max(0, len(ends) - HELD_ENDS)
+    if not failed and is_known_good(ends, fingerprint):
+        return min(KNOWN_GOOD_PAUSE_S, record.quarantine_s)
+    factor = PAUSE_FACTORS[min(failed, len(PAUSE_FACTORS) - 1)]
+    return record.quarantine_s * factor
+
+
+def may_end_more(record, fingerprint, now):
+    """Returns whether one more end would make a request held.
 
     Args:
-        log: CrashLog.
+        record: CrashRecord.
         fingerprint: Fingerprint of the request.
+        now: Current time (s, monotonic).
+    """
+    if fingerprint not in record.keys_of:
+        return False
+    return len(ends_of(record, fingerprint, now)) >= record.min_ends - 1
+
 
-    Notes:
-        A popular look-up is in flight on every server that crashes. It differs from
-        a request that crashes each server in that it also succeeds.
+def current_holds(record, now):
+    """Returns the list of the Hold of all requests that are held.
+
+    Args:
+        record: CrashRecord.
+        now: Current time (s, monotonic).
     """
-    for crash in log.crashes:
-        crash.suspects.discard(fingerprint)
+    found = [find_hold(record, f, now) for f in {*record.keys_of, *record.exceptions}]
+    return sorted((h for h in found if h), key=lambda h: (h.since, h.fingerprint))
 
 
-def _merge_report(log, server_id, suspects, now):
-    """Adds a report to the crash that it belongs to, or to a new one; returns it."""
-    for crash in reversed(log.crashes):
-        if crash.server_id == server_id and now - crash.at < MERGE_WINDOW_S:
-            crash.suspects |= suspects
-            return crash
-    crash = Crash(server_id, now, set(suspects))
-    log.crashes.append(crash)
-    del log.crashes[:-MAX_CRASHES]
-    return crash
+def take_trial(record, fingerprint, now):
+    """Takes the trial of a held request, if it is due.
 
+    Args:
+        record: CrashRecord of the instance that coordinates the request's trials.
+        fingerprint: Fingerprint of the request.
+        now: Current time (s, monotonic).
 
-def add_quarantine(log, fingerprint, duration_s, now):
-    """Puts a fingerprint into quarantine, or extends its quarantine.
+    Returns:
+        Time until the next trial (s); 0 when the request may be sent now, once.
+    """
+    hold = find_hold(record, fingerprint, now)
+    if hold is None:
+        return 0.0
+    due_at = max(hold.until, record.next_trials.get(fingerprint, now))
+    if now < due_at:
+        return due_at - now
+    record.next_trials[fingerprint] = now + TRIAL_SPACING_S
+    return 0.0
+
+
+def set_exception(record, fingerprint, exception):
+    """Records an operator's exception, unless a later one is known.
+
+    Args:
+        record: CrashRecord.
+        fingerprint: Fingerprint of the request.
+        exception: HoldException.
+
+    Returns:
+        Whether it is new.
+    """
+    known = record.exceptions.get(fingerprint)
+    if known is not None and known.number >= exception.number:
+        return False
+    record.exceptions[fingerprint] = exception
+    if len(record.exceptions) > MAX_EXCEPTIONS:
+        first = min(record.exceptions, key=lambda f: record.exceptions[f].until)
+        del record.exceptions[first]
+    return True
+
+
+def record_crash(record, server_id, suspects, now):
+    """Records the end of a server whose start is not known, and finds a new verdict.
+
+    Args:
+        record: CrashRecord.
+        server_id: Backend server name.
+        suspects: Set of fingerprints in flight on the server.
+        now: Current time (s, monotonic).
+
+    Returns:
+        Fingerprint of a suspect that is held, or None.
+    """
+    key = find_merged_key(record, server_id, now)
+    record_end(record, key, "", suspects, now)
+    for fingerprint in sorted(suspects):
+        if is_quarantined(record, fingerprint, now):
+            return fingerprint
+    return None
+
+
+def add_quarantine(record, fingerprint, duration_s, now):
+    """Adds a quarantine that another instance decided, or extends it.
 
     Args:
-        log: CrashLog.
+        record: CrashRecord.
         fingerprint: Fingerprint of the request.
         duration_s: Duration of the quarantine from now (s).
         now: Current time (s, monotonic).
@@ -122,26 +252,24 @@
     Returns:
         Whether the fingerprint was not in quarantine before.
     """
-    is_new = not is_quarantined(log, fingerprint, now)
-    until = max(log.quarantined.get(fingerprint, 0.0), now + duration_s)
-    log.quarantined[fingerprint] = until
-    if len(log.quarantined) > MAX_QUARANTINED:
-        first = min(log.quarantined, key=log.quarantined.get)
-        del log.quarantined[first]
+    is_new = not is_quarantined(record, fingerprint, now)
+    until = max(record.announced.get(fingerprint, 0.0), now + duration_s)
+    record.announced[fingerprint] = until
+    if len(record.announced) > MAX_ANNOUNCED:
+        first = min(record.announced, key=record.announced.get)
+        del record.announced[first]
     return is_new
 
 
-def is_quarantined(log, fingerprint, now):
-    """Returns whether a fingerprint is in quarantine."""
-    until = log.quarantined.get(fingerprint)
-    if until is None:
-        return False
-    if until <= now:
-        del log.quarantined[fingerprint]
-        return False
-    return True
+def is_quarantined(record, fingerprint, now):
+    """Returns whether a request is held and may not be tried yet."""
+    return remaining_quarantine_s(record, fingerprint, now) > 0.0
 
 
-def remaining_quarantine_s(log, fingerprint, now):
-    """Returns the remaining quarantine of a fingerprint (s); 0 when it is in none."""
-    return max(0.0, log.quarantined.get(fingerprint, now) - now)
+def remaining_quarantine_s(record, fingerprint, now):
+    """Returns the time until a held request may be tried (s); 0 when it may be sent."""
+    until = record.announced.get(fingerprint, now)
+    if until <= now:
+        record.announced.pop(fingerprint, None)
+    hold = find_hold(record, fingerprint, now)
+    return max(0.0, until - now, 0.0 if hold is None else hold.until - now)
--- a/packages/decisions/src/flamingolift_decisions/tests/test_pool.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_pool.py
@@ -193,7 +193,28 @@
         release_grant(pool, grant.ok.grant_id, "ok", 5.0, at + 5.1)
 
 
-def test_two_requests_always_in_flight_together_are_not_quarantined():
+def send_alone(pool, fingerprint, outcome, now):
+    """Takes a slot for a request if it may be sent; returns whether it was."""
+    granted = grant_or_queue(
+        pool, make_request(fingerprint=fingerprint), 0.0, None, now
+    )
+    if granted.is_error():
+        return False
+    release_grant(pool, granted.ok.grant_id, outcome, 5.0, now)
+    return True
+
+
+def test_two_requests_always_in_flight_together_are_told_apart_by_trials():
     pool = make_pool(names=["s1"])
-    for at in (0.0, 10.0, 20.0):
+    for at in (0.0, 10.0):
         assert crash_server_with(pool, ["crasher", "twin"], at) is None
+    # The third end holds both: the fourth is the one to prevent.
+    assert crash_server_with(pool, ["crasher", "twin"], 20.0) is not None
+    for name in ("crasher", "twin"):
+        assert not send_alone(pool, name, "ok", 30.0)
+    assert send_alone(pool, "twin", "ok", 90.0)
+    assert send_alone(pool, "crasher", "crashed", 91.0)
+    record_probe(pool.servers["s1"], False, False, None, 93.0)
+    record_probe(pool.servers["s1"], True, False, None, 94.0)
+    assert send_alone(pool, "twin", "ok", 100.0)
+    assert not send_alone(pool, "crasher", "ok", 200.0)
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -9,7 +9,7 @@
 import h11
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
-from flamingolift_front import bytestream, forwarding, httpcall
+from flamingolift_front import bytestream, crashwatch, forwarding, httpcall
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
@@ -309,10 +309,14 @@
         async with asyncio.timeout(cut_at - time.monotonic()):
             await _stream_response(front, conn, forwarded)
         outcome = Outcome.ANSWERED
+        if forwarded.response.status < 500:
+            crashwatch.note_success(front, req)
     except (ConnectionError, TimeoutError, httpcall.InvalidResponseError) as exc:
         late = isinstance(exc, TimeoutError)
         if not conn.stream.ended and not late:
             outcome = Outcome.LOST
+            if forwarded.backend is not None:
+                crashwatch.note_lost(front, req, forwarded.backend.entry)
         elif not conn.stream.ended and conn.stream.writable is None:
             outcome = Outcome.LATE
         cause = "the deadline passed" if late else str(exc) or type(exc).__name__
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -11,6 +11,7 @@
     availability,
     backends,
     loads,
+    quarantine,
     routetable,
     serverlimits,
     serverpaths,
@@ -18,8 +19,15 @@
 )
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import handover, limitgrants, serverpool
+from flamingolift_front import (
+    crashsync,
+    crashwatch,
+    handover,
+    limitgrants,
+    serverpool,
+)
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.refusals import quiet_fault, retryable_fault
 from flamingolift_front.requesttrace import SendRecord, may_have_run
@@ -78,6 +86,9 @@
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(retryable_fault(front, ResultCode.DRAINING, detail))
+    held = await _check_hold(front, req, trace)
+    if held.is_error():
+        return held
     if not serverpaths.is_cut_off(front.paths, trace.service):
         windowbudget.record_request(retry_budget_for(front, trace.service), now)
     if req.attempts_left is not None:
@@ -85,6 +96,20 @@
     return await _run_until(front, req, route, trace, deadline)
 
 
+async def _check_hold(front, req, trace) -> Result:
+    """Returns Error with a Fault for a request that is held, unless it is its trial."""
+    hold = crashwatch.hold_of(front, req)
+    if hold is None:
+        return Ok(None)
+    wait_s = hold.until - time.monotonic()
+    if wait_s <= 0.0:
+        wait_s = await crashsync.obtain_trial(front, req, hold)
+    if wait_s > 0.0:
+        return Error(crashwatch.held_fault(front, hold, wait_s))
+    trace.is_trial = True
+    return Ok(None)
+
+
 async def _serve_handed_on(front, req, route, trace, deadline):
     """Serves a request that another instance handed on; it goes no further."""
     front.metrics.handed_on.labels("taken").inc()
@@ -139,7 +164,7 @@
 async def _run_attempts(front, req, route, trace, deadline):
     """Runs attempts until one is final; returns a Result as `forward` does."""
     last = None
-    while _has_tries_left(front, route, trace):
+    while _has_tries_left(front, req, route, trace):
         now = time.monotonic()
         # Another instance may have sent the request before.
         is_first = not (trace.sends or trace.attempts)
@@ -163,8 +188,12 @@
             trace.unreached += 1
             continue
         trace.attempts += 1
+        if outcome is Outcome.LOST:
+            await _note_lost(front, req, trace, backend.entry)
         if outcome is Outcome.ANSWERED:
             last = forwarded
+            if forwarded.call is None and forwarded.response.status < 500:
+                crashwatch.note_success(front, req)
             if not _is_retryable(route, forwarded):
                 return Ok(forwarded)
         elif outcome in UNKNOWN_OUTCOMES and not route.idempotent:
@@ -176,6 +205,15 @@
     )
 
 
+async def _note_lost(front, req, trace, entry):
+    """Records a lost answer; waits for the verdict if the request may become held."""
+    probe = crashwatch.note_lost(front, req, entry)
+    record, now = front.crashes.record, time.monotonic()
+    is_suspect = quarantine.may_end_more(record, fingerprint_of(req), now)
+    if probe is not None and (trace.is_trial or is_suspect):
+        await asyncio.wait({probe})
+
+
 def _may_still_send(front, route, trace, backend, deadline):
     """Returns whether a request may be sent after the wait for its grant."""
     now = time.monotonic()
@@ -187,7 +225,9 @@
     return backend in warm or backend in cold
 
 
-def _has_tries_left(front, route, trace):
+def _has_tries_left(front, req, route, trace):
+    if trace.sends and crashwatch.hold_of(front, req) is not None:
+        return False
     if serverpaths.is_cut_off(front.paths, trace.service):
         return False
     if trace.shed and len(trace.withheld) >= MAX_WITHHELD:
@@ -375,6 +415,8 @@
     now = time.monotonic()
     if trace.attempts + 1 >= route.max_attempts:
         return False
+    if crashwatch.hold_of(front, req) is not None:
+        return False
     if deadline - now < attempttimeout.median_answer_time(times):
         return False
     budget = retry_budget_for(front, trace.service)
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -33,6 +33,8 @@
             unreachable when no grantor responded.
         handed_on: Counter of requests that were to be handed on to other instances, by
             result: answered, unreached, lost, or no_helper; and taken from others.
+        server_ends: Counter of reports about servers that ended under requests, by
+            source: own or peer.
         store_calls: Counter of calls on the store by kind and result.
         peer_bytes: Counter of the bytes of view updates by direction: sent or received.
         loop_delay: Histogram of the delay of a timer of the event loop (s).
@@ -54,6 +56,7 @@
         "requests",
         "requests_read",
         "sends",
+        "server_ends",
         "store_calls",
     )
 
@@ -107,6 +110,12 @@
             ("result",),
             registry=registry,
         )
+        self.server_ends = Counter(
+            "flamingolift_server_ends",
+            "Reports about servers that ended under requests",
+            ("source",),
+            registry=registry,
+        )
         self.store_calls = Counter(
             "flamingolift_store_calls",
             "Calls on the platform's store",
@@ -139,6 +148,7 @@
                 ("instances", "Instances known to be live"),
                 ("backend_servers", "Backend servers known"),
                 ("cut_off_services", "Services from which the instance is cut off"),
+                ("held_requests", "Requests that are held since servers ended"),
                 ("connections", "Callers' open connections"),
                 ("resident_bytes", "Resident memory of the process (bytes)"),
             )
@@ -158,6 +168,7 @@
     gauges["instances"].set(len(view.instances))
     gauges["backend_servers"].set(len(view.backends.backends))
     gauges["cut_off_services"].set(len(lost_services(front)))
+    gauges["held_requests"].set(len(front.crashes.held))
     gauges["connections"].set(len(front.connections))
     gauges["resident_bytes"].set(_resident_bytes())
     front.metrics.log_dropped.set(sum(front.log.dropped.values()))
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -11,7 +11,7 @@
 from flamingolift_model import Fault, ResultCode
 from flamingolift_wire.problems import REQUEST_OUTCOMES
 
-from flamingolift_front import bytestream, helperlist, httpcall, serverpool
+from flamingolift_front import bytestream, crashwatch, helperlist, httpcall, serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import may_connect
@@ -67,6 +67,8 @@
         return False
     if not route.idempotent and may_have_run(trace):
         return False
+    if crashwatch.hold_of(front, req) is not None:
+        return False
     budget = retry_budget_for(front, trace.service)
     instances = front.view.backends.instances
     if trace.attempts and not windowbudget.allow_retry(budget, instances, now):
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -6,6 +6,7 @@
 from flamingolift_decisions.explanations import explain_routing
 from flamingolift_model import Fault, ResultCode
 
+from flamingolift_front.crashsync import serve_crashes, serve_trial
 from flamingolift_front.helperlist import serve_paths
 from flamingolift_front.limitgrants import serve_grant
 from flamingolift_front.peersync import serve_view
@@ -14,15 +15,17 @@
 __all__ = ["handle_internal"]
 
 
-async def handle_internal(front, target):
+async def handle_internal(front, target, body=b""):
     """Answers a request on the peer port.
 
     Args:
         front: Front.
         target: Request target: `/view` for changes of the view, `/grant` for a
             request to a server that names a limit, `/paths` for the services that
-            the instance cannot serve, `/explain` with `host`, `path`
+            the instance cannot serve, `/crashes` for servers that ended, `/trial` for
+            a trial of a held request, `/explain` with `host`, `path`
             and `object` for an explanation of how a request is routed.
+        body: Body of the request (bytes).
 
     Returns:
         HttpResponse; a problem document with status 404 for any other target, and
@@ -36,6 +39,11 @@
         return await serve_view(front, target)
     if split.path == "/grant":
         return await serve_grant(front, dict(urllib.parse.parse_qsl(split.query)))
+    if split.path == "/crashes":
+        query = dict(urllib.parse.parse_qsl(split.query))
+        return await serve_crashes(front, query, body)
+    if split.path == "/trial":
+        return await serve_trial(front, dict(urllib.parse.parse_qsl(split.query)))
     if split.path == "/paths":
         return await serve_paths(front)
     if split.path == "/explain":
--- a/packages/front/src/flamingolift_front/lookups.py
+++ b/packages/front/src/flamingolift_front/lookups.py
@@ -53,7 +53,7 @@
     return [f"{by_name[n].host}:{by_name[n].caller_port}" for n in names]
 
 
-async def serve_control(front, stream, handler):
+async def serve_control(front, stream, handler, max_body_bytes=0):
     """Serves the requests of one connection to a control port.
 
     Args:
@@ -61,10 +61,14 @@
         stream: ByteStream that was accepted.
         handler: Coroutine function of the front and a request target (str)
             that returns an HttpResponse.
+        max_body_bytes: Largest body of a request that the handler takes as a further
+            argument (bytes); 0 for a handler without one.
     """
     parser = h11.Connection(h11.SERVER)
     try:
-        while await _serve_request_in_time(front, stream, parser, handler):
+        while await _serve_request_in_time(
+            front, stream, parser, handler, max_body_bytes
+        ):
             parser.start_next_cycle()
     except (TimeoutError, ConnectionError, h11.ProtocolError):
         # Control requests have no side effects, so the client can retry.
@@ -73,24 +77,29 @@
         bytestream.close(stream)
 
 
-async def _serve_request_in_time(front, stream, parser, handler):
+async def _serve_request_in_time(front, stream, parser, handler, max_body_bytes):
     async with time_limit(time.monotonic() + IDLE_TIMEOUT_S):
-        return await _serve_request(front, stream, parser, handler)
+        return await _serve_request(front, stream, parser, handler, max_body_bytes)
 
 
-async def _serve_request(front, stream, parser, handler):
-    target = None
+async def _serve_request(front, stream, parser, handler, max_body_bytes):
+    target, body = None, bytearray()
     while True:
         event = parser.next_event()
         if isinstance(event, h11.Request):
             target = event.target.decode("latin-1")
+        elif isinstance(event, h11.Data) and max_body_bytes:
+            body += event.data
+            if len(body) > max_body_bytes:
+                raise ConnectionAbortedError("a request's body is too large")
         elif isinstance(event, h11.EndOfMessage):
             break
         elif isinstance(event, h11.ConnectionClosed):
             return False
         elif event is h11.NEED_DATA:
             parser.receive_data(await bytestream.read(stream))
-    response = await _run_handler(front, handler, target)
+    arguments = (target, bytes(body)) if max_body_bytes else (target,)
+    response = await _run_handler(front, handler, arguments)
     headers = [*response.headers, (b"Content-Length", str(len(response.body)).encode())]
     data = parser.send(h11.Response(status_code=response.status, headers=headers))
     data += parser.send(h11.Data(data=response.body))
@@ -109,10 +118,10 @@
     return parser.our_state is h11.DONE
 
 
-async def _run_handler(front, handler, target):
+async def _run_handler(front, handler, arguments):
     """Returns the handler's HttpResponse, or that of a failure."""
     try:
-        return await handler(front, target)
+        return await handler(front, *arguments)
     except Exception as exc:
         log_event(front.log, "task_failed", task="control", cause=repr(exc))
         return problem_response(Fault(ResultCode.INTERNAL, "the handler failed"))
--- a/packages/front/src/flamingolift_front/peerlink.py
+++ b/packages/front/src/flamingolift_front/peerlink.py
@@ -16,6 +16,7 @@
     "link_name",
     "open_get",
     "open_link",
+    "open_request",
 ]
 
 CONNECT_TIMEOUT_S = 0.4
@@ -84,8 +85,27 @@
     Returns:
         HttpCall.
     """
-    headers = [(b"Host", link.address[0].encode())]
-    return httpcall.open_call(link.stream, b"GET", target.encode(), headers, b"")
+    return open_request(link, target, None)
+
+
+def open_request(link, target, body):
+    """Sends a request on an open link: a GET, or a POST if it has a body.
+
+    Args:
+        link: PeerLink with a connection.
+        target: Request target (str).
+        body: Body (bytes), or None.
+
+    Returns:
+        HttpCall.
+    """
+    method, headers = b"GET", [(b"Host", link.address[0].encode())]
+    if body is not None:
+        method = b"POST"
+        headers.append((b"Content-Length", str(len(body)).encode()))
+    return httpcall.open_call(
+        link.stream, method, target.encode(), headers, body or b""
+    )
 
 
 @contextlib.contextmanager
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -55,6 +55,7 @@
         unreached: Number of servers that did not accept a connection.
         handed_to: Id of the instance that the request was handed on to; empty for
             none.
+        is_trial: Whether the request is held and this is its one trial.
         withheld: List of (server id, instance that refused the grant, time until the
             next one (s)) for servers whose limit was reached.
     """
@@ -62,6 +63,7 @@
     __slots__ = (
         "attempts",
         "handed_to",
+        "is_trial",
         "policy",
         "route",
         "sends",
@@ -82,6 +84,7 @@
         self.shed = False
         self.unreached = 0
         self.handed_to = ""
+        self.is_trial = False
         self.withheld = []
 
 
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -7,6 +7,7 @@
 
 from flamingolift_front import (
     callers,
+    crashsync,
     limitgrants,
     lookups,
     loopwatch,
@@ -62,6 +63,8 @@
         _close_idle_connections,
         loopwatch.watch_loop,
         pathwatch.watch_paths,
+        crashsync.spread_crashes,
+        crashsync.pull_crashes,
     ):
         start_task(front, _run_forever(front, function))
     registration_task = start_task(front, maintain_registration(front))
@@ -87,7 +90,6 @@
     handlers = {
         cfg.ready_port: ready_handler,
         cfg.lookup_port: lookup_handler,
-        cfg.peer_port: handle_internal,
         cfg.metrics_port: lookups.serve_metrics,
     }
     listeners = [await _open_listener(cfg, cfg.caller_port, _caller_opener(front))]
@@ -95,6 +97,8 @@
         if port:
             opener = _control_opener(front, handler)
             listeners.append(await _open_listener(cfg, port, opener))
+    opener = _control_opener(front, handle_internal, crashsync.MAX_REPORT_BYTES)
+    listeners.append(await _open_listener(cfg, cfg.peer_port, opener))
     if cfg.handover_port:
         opener = _caller_opener(front, from_instance=True)
         listeners.append(await _open_listener(cfg, cfg.handover_port, opener))
@@ -105,9 +109,9 @@
     return lambda stream: callers.accept_caller(front, stream, from_instance)
 
 
-def _control_opener(front, handler):
+def _control_opener(front, handler, max_body_bytes=0):
     return lambda stream: start_task(
-        front, lookups.serve_control(front, stream, handler)
+        front, lookups.serve_control(front, stream, handler, max_body_bytes)
     )
 
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -13,6 +13,7 @@
 from flamingolift_decisions.serverpaths import ServerPaths
 from flamingolift_decisions.windowbudget import WindowBudget
 
+from flamingolift_front.crashwatch import Crashes
 from flamingolift_front.helperlist import Helpers
 from flamingolift_front.serverpool import ServerPool
 
@@ -222,6 +223,7 @@
         helper_pool: ServerPool of the connections to instances that take requests.
         taken: Number of requests of other instances that are in progress.
         retry_budgets: Map of service name to WindowBudget.
+        crashes: Crashes.
         connections: Set of the callers' CallerConnection that are open.
         links: Map of (host, port) to the PeerLink to a relay.
         grant_links: Map of (host, port) to a list of idle PeerLink to a grantor.
@@ -241,6 +243,7 @@
         "cfg",
         "connections",
         "connects",
+        "crashes",
         "exit_at",
         "failed_grantors",
         "grant_links",
@@ -280,6 +283,7 @@
         self.affinity_cache = AffinityCache()
         self.response_times = {}
         self.retry_budgets = {}
+        self.crashes = Crashes()
         self.connections = set()
         self.links = {}
         self.grant_links = {}
--- a/packages/model/src/flamingolift_model/codes.py
+++ b/packages/model/src/flamingolift_model/codes.py
@@ -31,6 +31,7 @@
     BOOKING_TABLE_FULL = 2008
     DEADLINE_BEFORE_RUN = 2009
     CUT_OFF = 2010
+    REQUEST_HELD = 2011
     OUTCOME_UNKNOWN = 3001
     KEY_EXPIRED = 3002
     BACKEND_FAILED = 3003
@@ -145,6 +146,12 @@
         "no",
         "This instance is cut off from the backend servers of the service.",
     ),
+    ResultCode.REQUEST_HELD: ResultCodeInfo(
+        503,
+        30,
+        "no",
+        "Backend servers ended under the same request, so it is held for now.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: ResultCodeInfo(
         504,
         31,
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -172,6 +172,36 @@
         "peer",
         "cause",
     ),
+    "server_ended": (
+        "server",
+        "started",
+        "service",
+        "source",
+        "suspects",
+        "age_s",
+    ),
+    "server_still_runs": (
+        "server",
+        "suspects",
+    ),
+    "request_hold_began": (
+        "fingerprint",
+        "service",
+        "servers",
+        "age_s",
+        "until_s",
+        "reason",
+    ),
+    "request_hold_ended": ("fingerprint",),
+    "request_trial": (
+        "id",
+        "fingerprint",
+        "coordinator",
+    ),
+    "crash_report_invalid": (
+        "peer",
+        "cause",
+    ),
     "answer_lost": (
         "id",
         "server",
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -25,6 +25,7 @@
     "frontsettings",
     "viewupdate",
     "grants",
+    "crashes",
     "paths",
 )
 
