--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -29,8 +29,9 @@
 
 HELD_ENDS = 3
 """Number of ends from which a request is held, unless another one explains them."""
-PAUSE_FACTORS = (1.0, 5.0, 30.0, 60.0)
-"""Pauses before the first and each later trial, relative to the first (ratio)."""
+PAUSE_FACTORS = (1.0, 5.0, 30.0)
+"""Pauses before the first, the second and each later trial, relative to the first
+(ratio). The ends that count against a request expire before further trials."""
 KNOWN_GOOD_PAUSE_S = 2.0
 """Pause before the first trial of a request that had succeeded before (s): it was
 probably in flight by accident."""
