List held requests, and hold or release single ones as exceptions with a reason

With real fronts: one that was frozen and one that started late, with the store up and down; neighbours with another query, path, method, caller or body are served; reset connections hold nothing.

--- a/integration/test_crashing_requests.py
+++ b/integration/test_crashing_requests.py
@@ -2,11 +2,22 @@
 
 import asyncio
 import contextlib
+import signal
 import time
 
 import pytest
-from flamingolift_standins.platformstore import remove_item
-from platformfleet import add_server, is_ready, send, start_front, wait_until
+from flamingolift_standins.platformstore import remove_item, stop_store
+from platformfleet import (
+    HOST,
+    add_server,
+    call,
+    events,
+    is_ready,
+    send,
+    start_front,
+    store_is_lost,
+    wait_until,
+)
 
 START_TIMEOUT_S = 30.0
 STABLE_WINDOW_S = 3.0
@@ -67,17 +78,16 @@
         await asyncio.sleep(0.02)
 
 
-async def send_crashing(play, fronts, method, ends_at):
+async def send_crashing(play, fronts, method, ends_at, name="crash"):
     """Sends one request again and again, at one front after the other."""
     number = 0
     while time.monotonic() < ends_at:
         front = fronts[number % len(fronts)]
         number += 1
-        cookie = ["Cookie: Affinity-Key=7"]
-        rid = f"crash-{number}"
-        reply = await send(
-            front, method, f"{play.prefix}crash", rid=rid, headers=cookie
-        )
+        cookie = [f"Cookie: Affinity-Key=7{name}"]
+        rid = f"{name}-{number}"
+        path = f"{play.prefix}{name}"
+        reply = await send(front, method, path, rid=rid, headers=cookie)
         play.refusals.append((time.monotonic(), reply))
         await asyncio.sleep(CALLER_PAUSE_S)
 
@@ -162,3 +172,98 @@
     refused = [r for at, r in play.refusals if at > ends[2] + STABLE_WINDOW_S]
     assert {reply.status for reply in refused} == {503}
     assert all(float(reply.headers["retry-after"]) > 0.0 for reply in refused)
+
+
+async def send_crash(front, rid, prefix="/read/"):
+    """Sends the request that ends servers once; returns the Reply."""
+    cookie = ["Cookie: Affinity-Key=7"]
+    return await send(front, "GET", f"{prefix}crash", rid=rid, headers=cookie)
+
+
+async def end_three_servers(play, front):
+    """Sends the request at one front until three servers have ended."""
+
+    async def has_ended_three():
+        await send_crash(front, f"e-{len(crash_times(play))}")
+        return len(crash_times(play)) >= 3
+
+    await wait_until(has_ended_three)
+    return time.monotonic()
+
+
+def arrivals(play):
+    """Returns how often the request has arrived at servers."""
+    return sum(r.ended == "crashed" for s in play.servers for r in s.requests)
+
+
+# Guards against an instance that missed the reports and lets the request end more
+# servers: one that was frozen, one that started later, also while the store is down.
+@pytest.mark.parametrize("store_is_down", [False, True])
+async def test_instance_that_missed_the_ends_holds_the_request(platform, store_is_down):
+    async with crash_play(platform, "/read/", 8) as play:
+        fronts = await start_fronts(platform, 3)
+        frozen = fronts[2]
+        if store_is_down:
+            await stop_store(platform.store)
+            await wait_until(lambda: store_is_lost(fronts[0]))
+        frozen.process.send_signal(signal.SIGSTOP)
+        await end_three_servers(play, fronts[0])
+        frozen.process.send_signal(signal.SIGCONT)
+        late = [frozen]
+        if not store_is_down:
+            late.append(await start_front(platform, "front-late"))
+            await wait_until(lambda: is_ready(late[-1]), START_TIMEOUT_S)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        before = arrivals(play)
+        for number, front in enumerate(late):
+            reply = await send_crash(front, f"late-{number}")
+            assert (reply.status, reply.headers["result-code"]) == (503, "2011")
+        assert arrivals(play) == before
+
+
+# Guards against a neighbour that is refused with the request that is held.
+async def test_only_the_same_request_is_held(platform):
+    async with crash_play(platform, "/read/", 6) as play:
+        fronts = await start_fronts(platform, 1)
+        await end_three_servers(play, fronts[0])
+        for server in play.servers:
+            server.crash_path = ""
+        cookie = ["Cookie: Affinity-Key=7"]
+        port = fronts[0].ports["front"]
+        neighbours = [
+            ("GET", "/read/crash?page=2", cookie, b""),
+            ("GET", "/read/crasher", cookie, b""),
+            ("HEAD", "/read/crash", cookie, b""),
+            ("GET", "/read/crash", ["Cookie: Affinity-Key=8"], b""),
+            ("GET", "/read/crash", [*cookie, "Authorization: Bearer b"], b""),
+            ("GET", "/read/crash", cookie, b"another body"),
+        ]
+        for number, (method, path, headers, body) in enumerate(neighbours):
+            reply = await call(
+                port, method, path, rid=f"n-{number}", headers=headers, body=body
+            )
+            assert reply.status == 200
+        # Another id and letter case of the host do not make it another request.
+        refused = await call(
+            port, "GET", "/read/crash", rid="n", headers=cookie, host=HOST.upper()
+        )
+        assert refused.status == 503
+        began = events(fronts[0], "request_hold_began")
+        assert len(began) == 1
+        done = events(fronts[0], "request_done")[-1]
+        assert done["outcome"] == "REQUEST_HELD"
+        assert began[0]["fingerprint"] in done["detail"]
+
+
+# Guards against a lost answer that is taken for the end of its server.
+async def test_request_whose_connections_are_reset_is_not_held(platform):
+    server = platform.servers["i-read-1"]
+    server.script = {number: "reset" for number in range(1, 9)}
+    fronts = await start_fronts(platform, 1)
+
+    async def is_served():
+        return (await send_crash(fronts[0], "r")).status == 200
+
+    await wait_until(is_served)
+    assert not events(fronts[0], "request_hold_began")
+    assert events(fronts[0], "server_still_runs")
--- a/packages/cli/src/flamingolift_cli/main.py
+++ b/packages/cli/src/flamingolift_cli/main.py
@@ -4,7 +4,12 @@
 from flamingolift_model import Fault, ResultCode
 
 from flamingolift_cli import policycommands
-from flamingolift_cli.explainpath import explain_request_path
+from flamingolift_cli.explainpath import (
+    explain_request_path,
+    hold_request,
+    list_held,
+    release_request,
+)
 from flamingolift_cli.operatorclient import (
     query_instance,
     query_instances,
@@ -126,6 +131,9 @@
     policycommands.undrain,
     policycommands.history,
     explain_request_path,
+    list_held,
+    hold_request,
+    release_request,
     trace,
 ):
     main.add_command(command)
--- a/packages/cli/src/flamingolift_cli/tracing.py
+++ b/packages/cli/src/flamingolift_cli/tracing.py
@@ -13,7 +13,10 @@
     (
         "evacuation_started",
         "policy_in_force",
+        "request_hold_began",
+        "request_hold_ended",
         "server_changed",
+        "server_ended",
         "server_failed",
         "server_gone",
         "servers_cut_off",
--- a/packages/decisions/src/flamingolift_decisions/explanations.py
+++ b/packages/decisions/src/flamingolift_decisions/explanations.py
@@ -12,7 +12,7 @@
 """Largest number of an object's servers that an explanation names."""
 
 
-def explain_routing(table, view, cache, paths, host, path, object_key, now):
+def explain_routing(table, view, cache, paths, host, path, object_key, now, holds=()):
     """Explains how the policy and its exceptions route a request.
 
     Args:
@@ -24,10 +24,12 @@
         path: Path of the request.
         object_key: Name of the object; empty for none.
         now: Current time (s, monotonic).
+        holds: List of the Hold of the requests that are held.
 
     Returns:
         List of sentences: the default policy, then each evacuation with its
-        reason, then the servers of each service and those that the object prefers.
+        reason, the requests that are held, then the servers of each service and those
+        that the object prefers.
     """
     if table is None:
         return ["No policy is in force yet."]
@@ -44,6 +46,12 @@
         sentences.append(f"It may only be served in {homes}.")
     for evacuation in view.evacuations.values():
         sentences.append(f"Exception: {evacuation.reason}.")
+    services = {part.service for part in route.services}
+    for hold in [h for h in holds if not h.service or h.service in services]:
+        sentences.append(
+            f"Exception: request {hold.fingerprint} is held for"
+            f" {max(0.0, hold.until - now):.0f} s: {hold.reason}."
+        )
     for part in route.services:
         sentences += _explain_servers(view, cache, part.service, route, object_key, now)
         if is_cut_off(paths, part.service):
--- a/packages/front/src/flamingolift_front/crashsync.py
+++ b/packages/front/src/flamingolift_front/crashsync.py
@@ -256,11 +256,7 @@
     exception = quarantine.HoldException(
         report.hold, report.reason, report.number, now, now + report.remaining_ms / 1e3
     )
-    crashes = front.crashes
-    if quarantine.set_exception(crashes.record, report.fingerprint, exception):
-        crashes.exceptions.add(report.fingerprint)
-        crashes.has_news.set()
-        crashwatch.update_holds(front, [report.fingerprint])
+    crashwatch.apply_exception(front, report.fingerprint, exception)
 
 
 async def serve_crashes(front, query, body):
--- a/packages/front/src/flamingolift_front/crashwatch.py
+++ b/packages/front/src/flamingolift_front/crashwatch.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "Crashes",
+    "apply_exception",
     "held_fault",
     "hold_of",
     "note_change",
@@ -226,6 +227,26 @@
     update_holds(front, fingerprints)
 
 
+def apply_exception(front, fingerprint, exception):
+    """Applies an operator's exception, and has it told to peers.
+
+    Args:
+        front: Front.
+        fingerprint: Fingerprint of the request.
+        exception: HoldException.
+
+    Returns:
+        Whether it is in force; not if a later one is known.
+    """
+    crashes = front.crashes
+    if not quarantine.set_exception(crashes.record, fingerprint, exception):
+        return False
+    crashes.exceptions.add(fingerprint)
+    crashes.has_news.set()
+    update_holds(front, [fingerprint])
+    return True
+
+
 def update_holds(front, fingerprints):
     """Logs which requests are newly held, and which are no longer.
 
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -3,10 +3,12 @@
 import time
 import urllib.parse
 
+from flamingolift_decisions import quarantine
 from flamingolift_decisions.explanations import explain_routing
 from flamingolift_model import Fault, ResultCode
 
 from flamingolift_front.crashsync import serve_crashes, serve_trial
+from flamingolift_front.heldrequests import serve_held, serve_hold
 from flamingolift_front.helperlist import serve_paths
 from flamingolift_front.limitgrants import serve_grant
 from flamingolift_front.peersync import serve_view
@@ -23,7 +25,8 @@
         target: Request target: `/view` for changes of the view, `/grant` for a
             request to a server that names a limit, `/paths` for the services that
             the instance cannot serve, `/crashes` for servers that ended, `/trial` for
-            a trial of a held request, `/explain` with `host`, `path`
+            a trial of a held request, `/held` for the list of held requests, `/hold`
+            for an operator's exception, `/explain` with `host`, `path`
             and `object` for an explanation of how a request is routed.
         body: Body of the request (bytes).
 
@@ -44,6 +47,10 @@
         return await serve_crashes(front, query, body)
     if split.path == "/trial":
         return await serve_trial(front, dict(urllib.parse.parse_qsl(split.query)))
+    if split.path == "/held":
+        return await serve_held(front)
+    if split.path == "/hold":
+        return await serve_hold(front, dict(urllib.parse.parse_qsl(split.query)))
     if split.path == "/paths":
         return await serve_paths(front)
     if split.path == "/explain":
@@ -65,6 +72,7 @@
         query.get("path", "/"),
         query.get("object", ""),
         time.monotonic(),
+        quarantine.current_holds(front.crashes.record, time.monotonic()),
     )
     return {
         "instance": front.cfg.instance_id,
