Do not take the ends of several servers for the instance's own cut

Cause: three failed connects to different servers of a service, with none reached in between, mean a cut. Servers that a request ended refuse connects for another reason.

Change: a failed connect says nothing of the path when the server is known to have ended (own or a peer's report), when a probe is under way after a lost answer, or when the server lately closed idle connections before their time. A finding that rests on such servers is taken back when their end becomes known; other failures keep it.

--- a/integration/test_crashing_requests.py
+++ b/integration/test_crashing_requests.py
@@ -267,3 +267,18 @@
     await wait_until(is_served)
     assert not events(fronts[0], "request_hold_began")
     assert events(fronts[0], "server_still_runs")
+
+
+# Guards against an instance that takes the ends of several servers for its own cut.
+async def test_ends_of_servers_are_not_taken_for_an_own_cut(platform):
+    async with crash_play(platform, "/read/", 12) as play:
+        fronts = await start_fronts(platform, 3)
+        ends_at = time.monotonic() + PLAY_S / 2
+        names = [f"crash-{n}" for n in range(3)]
+        await asyncio.gather(
+            send_ordinary(play, fronts, "GET", ends_at),
+            *(send_crashing(play, fronts, "GET", ends_at, name) for name in names),
+        )
+    assert len(crash_times(play)) >= 6
+    codes = [reply.headers.get("result-code") for _at, reply in play.replies]
+    assert "2010" not in codes
--- a/packages/decisions/src/flamingolift_decisions/serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/serverpaths.py
@@ -14,8 +14,10 @@
 __all__ = [
     "ServerPaths",
     "cut_off_services",
+    "end_cut",
     "is_cut_off",
     "lift_suspensions",
+    "record_ended",
     "record_reached",
     "record_unreached",
     "renew_cold_pauses",
@@ -37,17 +39,20 @@
     Attributes:
         unreached: Map of service name to a map of server id to the time of its last
             failed connect since a server of the service was reached (s, monotonic).
+        evidence: Map of the name of each service that is cut off to the set of the
+            (service, server id) whose failed connects say so.
         cut_off_at: Map of service name to the time at which it was found to be cut off
             (s, monotonic).
         reached_at: Time at which a server of any service was reached last (s,
             monotonic).
     """
 
-    __slots__ = ("cut_off_at", "reached_at", "unreached")
+    __slots__ = ("cut_off_at", "evidence", "reached_at", "unreached")
 
     def __init__(self):
         self.reached_at = -math.inf
         self.unreached = {}
+        self.evidence = {}
         self.cut_off_at = {}
 
 
@@ -71,17 +76,21 @@
     for times in paths.unreached.values():
         for name in [n for n, at in times.items() if at < now - EVIDENCE_S]:
             del times[name]
+    evidence = {(service, name) for name in failed}
     # A failure of a service that is cut off already says nothing about the others.
     if service in paths.cut_off_at:
+        paths.evidence[service].add((service, server_id))
         found = []
     elif _is_cut_off_overall(paths):
         found = [*services, service]
+        evidence = {(s, name) for s, times in paths.unreached.items() for name in times}
     elif len(failed) >= CUT_OFF_SERVERS:
         found = [service]
     else:
         found = []
     new = sorted({name for name in found if name not in paths.cut_off_at})
     paths.cut_off_at.update(dict.fromkeys(new, now))
+    paths.evidence.update({name: set(evidence) for name in new})
     return Some(new) if new else Nothing
 
 
@@ -113,10 +122,48 @@
     paths.reached_at = now
     if paths.unreached:
         paths.unreached.pop(service, None)
-    cut_off_at = paths.cut_off_at.pop(service, None)
+    cut_off_at = end_cut(paths, service)
     return Nothing if cut_off_at is None else Some(cut_off_at)
 
 
+def end_cut(paths, service):
+    """Ends the finding that a service is cut off.
+
+    Args:
+        paths: ServerPaths.
+        service: Service name.
+
+    Returns:
+        Time of the finding (s, monotonic), or None when there was none.
+    """
+    paths.evidence.pop(service, None)
+    return paths.cut_off_at.pop(service, None)
+
+
+def record_ended(paths, service, server_id):
+    """Records that a server ended, so that its failed connects say nothing of a path.
+
+    Args:
+        paths: ServerPaths.
+        service: Service name.
+        server_id: Id of the server.
+
+    Returns:
+        Map of the names of the services that no longer count as cut off, since too
+        few failed connects are left that say so, to the times at which they were
+        found to be (s, monotonic).
+    """
+    paths.unreached.get(service, {}).pop(server_id, None)
+    lifted = {}
+    for name, evidence in list(paths.evidence.items()):
+        if (service, server_id) not in evidence:
+            continue
+        evidence.discard((service, server_id))
+        if len(evidence) < CUT_OFF_SERVERS:
+            lifted[name] = end_cut(paths, name)
+    return lifted
+
+
 def is_cut_off(paths, service):
     """Returns whether the instance is cut off from all servers of a service."""
     return service in paths.cut_off_at
--- a/packages/decisions/src/flamingolift_decisions/tests/test_serverpaths.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_serverpaths.py
@@ -110,3 +110,36 @@
     serverpaths.lift_suspensions(view, ["maps-1"], 1.1)
     assert backends.is_in_use(view, backend, 1.1)
     assert not backends.is_cold(backend, 1.1)
+
+
+# Guards against the ends of several servers that are taken for an own cut.
+def test_ends_of_servers_take_back_a_cut_that_rests_on_them():
+    paths = ServerPaths()
+    for number in (1, 2, 3):
+        fail(paths, "maps", number)
+    assert serverpaths.record_ended(paths, "maps", "maps-1") == {"maps": 0.0}
+    assert not is_cut_off(paths, "maps")
+    # What is left does not suffice without a further server.
+    assert fail(paths, "maps", 2, 1.0).is_none()
+    assert fail(paths, "maps", 4, 1.0).value == ["maps"]
+
+
+def test_cut_that_other_servers_confirm_outlasts_the_end_of_one():
+    paths = ServerPaths()
+    for number in (1, 2, 3, 4):
+        fail(paths, "maps", number)
+    assert serverpaths.record_ended(paths, "maps", "maps-1") == {}
+    assert is_cut_off(paths, "maps")
+    assert serverpaths.record_ended(paths, "maps", "maps-9") == {}
+    assert set(serverpaths.record_ended(paths, "maps", "maps-2")) == {"maps"}
+
+
+def test_end_of_a_server_takes_back_a_cut_of_all_services():
+    paths = ServerPaths()
+    found = [fail(paths, name, number) for name in SERVICES for number in (1, 2)]
+    assert any(option.is_some() for option in found)
+    assert cut_off_services(paths) == sorted(SERVICES)
+    for name in SERVICES:
+        serverpaths.record_ended(paths, name, f"{name}-1")
+        serverpaths.record_ended(paths, name, f"{name}-2")
+    assert cut_off_services(paths) == []
--- a/packages/front/src/flamingolift_front/crashwatch.py
+++ b/packages/front/src/flamingolift_front/crashwatch.py
@@ -10,7 +10,7 @@
 from flamingolift_decisions import crashrecord, quarantine
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import bytestream
+from flamingolift_front import bytestream, pathrecords
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.fingerprints import fingerprint_of
@@ -211,6 +211,7 @@
         end = crashes.record.ends.get(key)
         if end is None or not source:
             continue
+        pathrecords.note_ended(front, end.service, end.server_id)
         front.metrics.server_ends.labels(source).inc()
         log_event(
             front.log,
--- a/packages/front/src/flamingolift_front/pathrecords.py
+++ b/packages/front/src/flamingolift_front/pathrecords.py
@@ -8,6 +8,7 @@
 
 from flamingolift_decisions import serverpaths
 
+from flamingolift_front import serverpool
 from flamingolift_front.eventlog import log_event
 
 __all__ = [
@@ -15,6 +16,7 @@
     "may_connect",
     "note_answered",
     "note_connected",
+    "note_ended",
     "note_unreached",
 ]
 
@@ -57,13 +59,32 @@
     for paths in records:
         for cut_off_at in serverpaths.record_reached(paths, service, now).to_list():
             serverpaths.renew_cold_pauses(front.view.backends, service, now)
-            log_event(
-                front.log,
-                "servers_regained",
-                service=service,
-                cut="all" if paths is front.paths else "connects",
-                cut_off_s=round(now - cut_off_at, 2),
-            )
+            _log_regained(front, paths, service, now - cut_off_at)
+
+
+def _log_regained(front, paths, service, cut_off_s):
+    log_event(
+        front.log,
+        "servers_regained",
+        service=service,
+        cut="all" if paths is front.paths else "connects",
+        cut_off_s=round(cut_off_s, 2),
+    )
+
+
+def note_ended(front, service, server_id):
+    """Records that a server ended: its failed connects are no sign of an own cut.
+
+    Args:
+        front: Front.
+        service: Service name.
+        server_id: Id of the server.
+    """
+    now = time.monotonic()
+    for paths in (front.paths, front.connects):
+        lifted = serverpaths.record_ended(paths, service, server_id)
+        for name, cut_off_at in lifted.items():
+            _log_regained(front, paths, name, now - cut_off_at)
 
 
 def note_unreached(front, backend, now, is_connect):
@@ -82,6 +103,9 @@
         Whether the instance is cut off from the service of the server, so that the
         failure is not the server's.
     """
+    entry = backend.entry
+    if _seems_ended(front, entry, now):
+        return not may_connect(front, entry.service)
     _record_unreached(front, backend, now, front.paths, "all")
     if is_connect:
         _record_unreached(front, backend, now, front.connects, "connects")
@@ -89,6 +113,15 @@
     return serverpaths.is_cut_off(front.paths, backend.entry.service)
 
 
+def _seems_ended(front, entry, now):
+    """Returns whether a server that is not reached has probably ended."""
+    key = (entry.server_id, entry.started_ms)
+    crashes = front.crashes
+    if key in crashes.record.ends or key in crashes.probes:
+        return True
+    return serverpool.has_dropped_connections(front.pool, entry.server_id, now)
+
+
 def _record_unreached(front, backend, now, paths, cut):
     view, entry = front.view.backends, backend.entry
     found = serverpaths.record_unreached(
--- a/packages/front/src/flamingolift_front/pathwatch.py
+++ b/packages/front/src/flamingolift_front/pathwatch.py
@@ -5,7 +5,7 @@
 import math
 import time
 
-from flamingolift_decisions import availability, backends
+from flamingolift_decisions import availability, backends, serverpaths
 
 from flamingolift_front import bytestream, helperlist
 from flamingolift_front.pathrecords import lost_services, note_connected
@@ -69,7 +69,7 @@
     if backend is None:
         # The service was removed, or all its servers are leaving.
         for paths in (front.paths, front.connects):
-            paths.cut_off_at.pop(service, None)
+            serverpaths.end_cut(paths, service)
         return
     entry = backend.entry
     with contextlib.suppress(OSError, TimeoutError):
--- a/packages/front/src/flamingolift_front/serverpool.py
+++ b/packages/front/src/flamingolift_front/serverpool.py
@@ -1,5 +1,7 @@
 """Pool of idle keep-alive connections to backend servers."""
 
+import math
+
 from flamingolift_front import bytestream, httpcall
 
 __all__ = [
@@ -9,6 +11,7 @@
     "close_connections",
     "close_expired",
     "has_connection",
+    "has_dropped_connections",
     "return_connection",
 ]
 
@@ -21,6 +24,8 @@
 """Time before a declared keep-alive timeout from which a connection is not reused
 (s): longer than a round trip between regions plus a timer's delay."""
 MAX_IDLE_PER_SERVER = 4
+DROPPED_S = 3.0
+"""Time for which it counts that a server closed an idle connection early (s)."""
 
 
 class IdleConnection:
@@ -45,14 +50,17 @@
 
     Attributes:
         idle: Map of server id to a list of IdleConnection, newest last.
+        dropped_at: Map of server id to the time at which a connection was found that
+            the server had closed before its idle time was over (s, monotonic).
         opened: Number of connections opened.
         reused: Number of requests sent on a pooled connection.
     """
 
-    __slots__ = ("idle", "opened", "reused")
+    __slots__ = ("dropped_at", "idle", "opened", "reused")
 
     def __init__(self):
         self.idle = {}
+        self.dropped_at = {}
         self.opened = 0
         self.reused = 0
 
@@ -82,10 +90,28 @@
         ):
             pool.reused += 1
             return stream
+        if stream.ended and now < conn.expires_at:
+            pool.dropped_at[server_id] = now
         bytestream.abort(stream)
     return None
 
 
+def has_dropped_connections(pool, server_id, now):
+    """Returns whether a server lately closed an idle connection before its time.
+
+    A server that ended does so; a path that is cut closes none.
+
+    Args:
+        pool: ServerPool.
+        server_id: Id of the server.
+        now: Current time (s, monotonic).
+    """
+    for conn in pool.idle.get(server_id, ()):
+        if conn.stream.ended and now < conn.expires_at:
+            return True
+    return now - pool.dropped_at.get(server_id, -math.inf) < DROPPED_S
+
+
 def has_connection(pool, server_id, now):
     """Returns whether there is an idle connection to a server.
 
@@ -158,6 +184,9 @@
         pool: ServerPool.
         now: Current time (s, monotonic).
     """
+    for server_id, at in list(pool.dropped_at.items()):
+        if now - at >= DROPPED_S:
+            del pool.dropped_at[server_id]
     for server_id, idle_connections in list(pool.idle.items()):
         kept = [
             c
