Try a request that had succeeded before again soon when its trial had no result

A popular request that is held by accident is tried after 2 s; when that trial met a full server, the next one came 30 s later. The pause of that first trial now also spaces its repeats. A request that never succeeded keeps the 30 s. Tested in test_quarantine.py.

--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -196,10 +196,18 @@
     due_at = max(hold.until, record.next_trials.get(fingerprint, now))
     if now < due_at:
         return due_at - now
-    record.next_trials[fingerprint] = now + TRIAL_SPACING_S
+    record.next_trials[fingerprint] = now + _trial_spacing_s(hold)
     return 0.0
 
 
+def _trial_spacing_s(hold):
+    """Returns the time until another trial if this one has no result (s)."""
+    is_first = len(hold.ends) == HELD_ENDS
+    if is_first and is_known_good(hold.ends, hold.fingerprint):
+        return KNOWN_GOOD_PAUSE_S
+    return TRIAL_SPACING_S
+
+
 def set_exception(record, fingerprint, exception):
     """Records an operator's exception, unless a later one is known.
 
--- a/packages/decisions/src/flamingolift_decisions/tests/test_quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_quarantine.py
@@ -152,6 +152,9 @@
     end_servers(record, ["popular"], 3, 1.0)
     hold = find_hold(record, "popular", 2.0)
     assert hold.until == pytest.approx(1.2 + KNOWN_GOOD_PAUSE_S)
+    # A trial without a result, such as a refusal by a full server, keeps nobody long.
+    assert take_trial(record, "popular", 3.5) == 0.0
+    assert take_trial(record, "popular", 3.5) == KNOWN_GOOD_PAUSE_S
     record_end(record, ("s9", 1), "reads", ["popular"], 4.0)
     hold = find_hold(record, "popular", 5.0)
     assert hold.until == pytest.approx(4.0 + PAUSE_S * PAUSE_FACTORS[1])
