--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -5,6 +5,8 @@
 more server makes the next pause longer.
 """
 
+import itertools
+
 from flamingolift_decisions.crashrecord import (
     Suspicion,
     ends_of,
@@ -29,12 +31,15 @@
 
 HELD_ENDS = 3
 """Number of ends from which a request is held, unless another one explains them."""
-PAUSE_FACTORS = (1.0, 5.0, 30.0)
-"""Pauses before the first, the second and each later trial, relative to the first
-(ratio). The ends that count against a request expire before further trials."""
-KNOWN_GOOD_PAUSE_S = 2.0
-"""Pause before the first trial of a request that had succeeded before (s): it was
-probably in flight by accident."""
+PAUSE_FACTORS = (1.0 / 30.0, 1.0 / 6.0, 1.0, 5.0, 30.0)
+"""Pauses before one trial after the other, relative to the time in quarantine (ratio).
+The first two are for requests that had succeeded before, which were probably in flight
+by accident."""
+FIRST_FULL_PAUSE = 2
+"""Place of the first pause of a request that is not known to have succeeded."""
+TRIAL_GAP_S = 1.5
+"""Time since the end before from which an end is that of a trial (s): less than the
+shortest pause. Other ends after the deciding one were on their way."""
 TRIAL_SPACING_S = 30.0
 """Time after a trial without a result from which there may be another one (s)."""
 MAX_ANNOUNCED = 1024
@@ -119,7 +124,7 @@
 def _is_to_blame(record, fingerprint, ends, now):
     """Returns whether the ends under a request are to be put down to it."""
     if len(ends) >= HELD_ENDS:
-        return not _is_explained(record, fingerprint, ends, now)
+        return not _is_explained(record, fingerprint, now)
     if len(ends) < record.min_ends:
         return False
     common = set.intersection(*(_uncleared(end) for end in ends))
@@ -130,28 +135,55 @@
     return {f for f, s in end.suspects.items() if not s & Suspicion.CLEARED}
 
 
-def _is_explained(record, fingerprint, ends, now):
-    """Returns whether requests that ended more servers explain all these ends.
+def _is_explained(record, fingerprint, now):
+    """Returns whether other requests that are held explain all these ends.
+
+    Requests are taken in the order of the number of their ends, so that none is
+    explained by one that it explains itself. Between requests under which the same
+    servers ended, one that had succeeded before is explained by one that had not.
+    """
+    held = []
+    for _count, other_is_good, other in _candidates(record, now):
+        other_keys = _keys(ends_of(record, other, now))
+        explaining = [
+            found
+            for found, found_is_good in held
+            if found != other_keys or (other_is_good and not found_is_good)
+        ]
+        is_explained = other_keys <= set().union(*explaining)
+        if other == fingerprint:
+            return is_explained
+        if not is_explained:
+            held.append((other_keys, other_is_good))
+    return False
+
+
+def _candidates(record, now):
+    """Returns the requests with enough ends, those with the most first.
 
-    Between requests under which the same servers ended, one that had succeeded before
-    is explained by one that had not.
+    Returns:
+        List of (negative number of ends, whether it had succeeded before, fingerprint).
     """
-    is_good = is_known_good(ends, fingerprint)
-    left = {(end.server_id, end.started_ms) for end in ends}
-    for other in {f for end in ends for f in _uncleared(end)} - {fingerprint}:
-        other_ends = ends_of(record, other, now)
-        is_worse = is_good and not is_known_good(other_ends, other)
-        if len(other_ends) > len(ends) or (len(other_ends) == len(ends) and is_worse):
-            left -= {(end.server_id, end.started_ms) for end in other_ends}
-    return not left
+    found = []
+    for fingerprint, keys in record.keys_of.items():
+        if len(keys) >= HELD_ENDS:
+            ends = ends_of(record, fingerprint, now)
+            if len(ends) >= HELD_ENDS:
+                is_good = is_known_good(ends, fingerprint)
+                found.append((-len(ends), is_good, fingerprint))
+    return sorted(found)
+
+
+def _keys(ends):
+    return frozenset((end.server_id, end.started_ms) for end in ends)
 
 
 def _pause_s(record, fingerprint, ends):
     """Returns the time from the last end to the next trial (s)."""
-    failed = max(0, len(ends) - HELD_ENDS)
-    if not failed and is_known_good(ends, fingerprint):
-        return min(KNOWN_GOOD_PAUSE_S, record.quarantine_s)
-    factor = PAUSE_FACTORS[min(failed, len(PAUSE_FACTORS) - 1)]
+    late = itertools.pairwise(ends[HELD_ENDS - 1 :])
+    failed = sum(after.at - before.at >= TRIAL_GAP_S for before, after in late)
+    place = failed + (0 if is_known_good(ends, fingerprint) else FIRST_FULL_PAUSE)
+    factor = PAUSE_FACTORS[min(place, len(PAUSE_FACTORS) - 1)]
     return record.quarantine_s * factor
 
 
@@ -196,18 +228,13 @@
     due_at = max(hold.until, record.next_trials.get(fingerprint, now))
     if now < due_at:
         return due_at - now
-    record.next_trials[fingerprint] = now + _trial_spacing_s(hold)
+    pause_s = _pause_s(record, fingerprint, hold.ends)
+    record.next_trials[fingerprint] = now + max(
+        TRIAL_GAP_S, min(TRIAL_SPACING_S, pause_s)
+    )
     return 0.0
 
 
-def _trial_spacing_s(hold):
-    """Returns the time until another trial if this one has no result (s)."""
-    is_first = len(hold.ends) == HELD_ENDS
-    if is_first and is_known_good(hold.ends, hold.fingerprint):
-        return KNOWN_GOOD_PAUSE_S
-    return TRIAL_SPACING_S
-
-
 def set_exception(record, fingerprint, exception):
     """Records an operator's exception, unless a later one is known.
 
