--- a/tools/bite.py
+++ b/tools/bite.py
@@ -332,6 +332,60 @@
         ],
         "integration/test_leaving_servers.py",
     ),
+    "F26 keep the ends of servers to oneself": (
+        [
+            (
+                f"{FRONT}/crashsync.py",
+                "        message = _encode(front, keys, named)\n",
+                "        message = _encode(front, (), ())\n",
+            ),
+            (
+                f"{FRONT}/crashsync.py",
+                "    return binary_response(200, _encode(front, record.ends, record.exceptions))",
+                "    return binary_response(200, msgpack.packb({}))",
+            ),
+        ],
+        f"{FRONT}/tests/test_crashsync.py",
+    ),
+    "F27 take each lost answer for the end of a server": (
+        [
+            (
+                f"{FRONT}/crashwatch.py",
+                "    if has_ended:\n        _record",
+                "    if True:\n        _record",
+            )
+        ],
+        "integration/test_crashing_requests.py::test_request_whose_connections_are_reset_is_not_held",
+    ),
+    "F28 let each instance try a held request": (
+        [
+            (
+                f"{DECISIONS}/quarantine.py",
+                "    if now < due_at:\n        return due_at - now\n",
+                "",
+            )
+        ],
+        f"{FRONT}/tests/test_crashsync.py",
+    ),
+    "F29 compare no records": (
+        [(f"{FRONT}/run.py", "        crashsync.pull_crashes,\n", "")],
+        "integration/test_crashing_requests.py::test_instance_that_missed_the_ends_holds_the_request",
+    ),
+    "F30 take failed connects to servers that ended for an own cut": (
+        [
+            (
+                f"{FRONT}/pathrecords.py",
+                "    if _seems_ended(front, entry, now):",
+                "    if False:",
+            ),
+            (
+                f"{FRONT}/crashwatch.py",
+                "        pathrecords.note_ended(front, end.service, end.server_id)\n",
+                "",
+            ),
+        ],
+        "integration/test_crashing_requests.py::test_ends_of_servers_are_not_taken_for_an_own_cut",
+    ),
 }
 
 
