--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -157,20 +157,30 @@
     return server
 
 
-async def start_front(fleet, name, store_port=None):
-    """Starts a front and returns it; it need not be ready yet."""
+async def start_front(fleet, name, store_port=None, search_path=None):
+    """Starts a front and returns it; it need not be ready yet.
+
+    Args:
+        fleet: PlatformFleet.
+        name: Instance name.
+        store_port: Port of the store, or of a proxy before it.
+        search_path: Module search path of another build; None for this one.
+    """
     store_port = store_port or fleet.store.port
     names = ("front", "ready", "control", "directory", "metrics", "handover")
     ports = dict(zip(names, free_ports(len(names)), strict=True))
     settings_path = fleet.folder / f"{name}.toml"
     settings_path.write_text(SETTINGS.format(name=name, store=store_port, **ports))
     log_path = fleet.folder / f"{name}.log"
+    env = {**os.environ, "FLAMINGOLIFT_NODE_FILE": str(settings_path)}
+    if search_path is not None:
+        env["PYTHONPATH"] = search_path
     with log_path.open("wb") as log:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "flamingolift_platform",
-            env={**os.environ, "FLAMINGOLIFT_NODE_FILE": str(settings_path)},
+            env=env,
             stdout=log,
             stderr=asyncio.subprocess.STDOUT,
         )
