Test a download under which servers end after its first bytes

The send that is lost while its body streams counts as evidence like any other; the request is held after exactly three ends.

--- a/integration/test_crashing_requests.py
+++ b/integration/test_crashing_requests.py
@@ -271,6 +271,26 @@
     assert events(fronts[0], "server_still_runs")
 
 
+# Guards against a download that ends servers after its first bytes and is not counted.
+async def test_request_that_ends_servers_during_their_answer_is_held(platform):
+    for number in (2, 3, 4):
+        await add_server(platform, f"i-read-{number}", "reads")
+    for server in platform.servers.values():
+        server.crash_path, server.crash_bytes = "/map/crash", 2 << 20
+    front = (await start_fronts(platform, 1))[0]
+
+    async def is_held():
+        try:
+            reply = await send(front, "GET", "/map/crash", rid="d")
+        except ConnectionError:
+            return False
+        return reply.headers.get("result-code") == "2011"
+
+    await wait_until(is_held)
+    ended = [s for s in platform.servers.values() if s.ended_at]
+    assert len(ended) == 3
+
+
 # Guards against an instance that takes the ends of several servers for its own cut.
 async def test_ends_of_servers_are_not_taken_for_an_own_cut(platform):
     async with crash_play(platform, "/read/", 12) as play:
--- a/standins/src/flamingolift_standins/platformserver.py
+++ b/standins/src/flamingolift_standins/platformserver.py
@@ -45,6 +45,7 @@
         work_s: Processing time of a request (s).
         crash_path: Start of the paths whose requests end the server after `work_s`;
             empty for none.
+        crash_bytes: Bytes of a long response that it sends before such an end.
         ended_at: Time at which a request ended it (s, monotonic); None while it runs.
         limit: Value of Server-Limit in its answers; None names no limit.
         leaving: Whether all its answers say Server-Leaving.
@@ -63,6 +64,7 @@
 
     __slots__ = (
         "connections",
+        "crash_bytes",
         "crash_path",
         "ended_at",
         "leaving",
@@ -80,6 +82,7 @@
         self.server_id = server_id
         self.work_s = work_s
         self.crash_path = ""
+        self.crash_bytes = 0
         self.ended_at = None
         self.limit = None
         self.leaving = False
@@ -144,6 +147,10 @@
         return False
     if state.crash_path and line.split()[1].startswith(state.crash_path):
         request.ended = "crashed"
+        if state.crash_bytes:
+            message = _response(request, 200, bytes(STREAMED_BYTES))
+            writer.write(message[: state.crash_bytes])
+            await writer.drain()
         await asyncio.sleep(state.work_s)
         _crash(state)
         return False
