Try requests with the same ends soon, one after the other

In a play with real processes (12 fronts, 24 servers, both requests new and with one affinity key) a popular request was in flight at all three ends under another one. With no earlier success to tell them apart, both were held for 60 s: none of 255 attempts of the popular one was served. Requests that share all their ends now have their first trials after 2, 4, ... s, so that the first result decides on the others: a fourth end explains theirs, a success leaves the other one alone to blame. A request that is alone in all its ends waits 60 s as before.

--- a/packages/decisions/src/flamingolift_decisions/quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/quarantine.py
@@ -33,8 +33,8 @@
 """Number of ends from which a request is held, unless another one explains them."""
 PAUSE_FACTORS = (1.0 / 30.0, 1.0 / 6.0, 1.0, 5.0, 30.0)
 """Pauses before one trial after the other, relative to the time in quarantine (ratio).
-The first two are for requests that had succeeded before, which were probably in flight
-by accident."""
+The first two are for requests that had succeeded before, or that shared all their ends
+with others, and so were probably in flight by accident."""
 FIRST_FULL_PAUSE = 2
 """Place of the first pause of a request that is not known to have succeeded."""
 TRIAL_GAP_S = 1.5
@@ -182,6 +182,11 @@
     """Returns the time from the last end to the next trial (s)."""
     late = itertools.pairwise(ends[HELD_ENDS - 1 :])
     failed = sum(after.at - before.at >= TRIAL_GAP_S for before, after in late)
+    twins = sorted(set.intersection(*(_uncleared(end) for end in ends)))
+    if not failed and len(twins) > 1:
+        # One after the other, since the first result also decides on the others.
+        turn = 1 + twins.index(fingerprint)
+        return record.quarantine_s * min(1.0, PAUSE_FACTORS[0] * turn)
     place = failed + (0 if is_known_good(ends, fingerprint) else FIRST_FULL_PAUSE)
     factor = PAUSE_FACTORS[min(place, len(PAUSE_FACTORS) - 1)]
     return record.quarantine_s * factor
--- a/packages/decisions/src/flamingolift_decisions/tests/test_quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_quarantine.py
@@ -160,6 +160,27 @@
     assert hold.until == pytest.approx(4.0 + PAUSE_S / 6.0)
 
 
+# Guards against an innocent request that is held for long, since it was in flight at
+# all ends under another one.
+def test_requests_with_the_same_ends_are_tried_soon_and_one_after_the_other():
+    record = make_record()
+    end_servers(record, ["one", "other"], 3)
+    first, second = (find_hold(record, name, 1.0).until for name in ("one", "other"))
+    assert first == pytest.approx(0.2 + PAUSE_S / 30.0)
+    assert second == pytest.approx(0.2 + 2.0 * PAUSE_S / 30.0)
+    # The trial of one decides on the other: if a server ends under it, it explains all
+    # ends; if it succeeds, the other alone is to blame.
+    ended, succeeded = make_record(), make_record()
+    for copy in (ended, succeeded):
+        end_servers(copy, ["one", "other"], 3)
+    record_end(ended, ("s9", 1), "reads", ["one"], 2.5)
+    assert is_held(ended, "one", 3.0)
+    assert not is_held(ended, "other", 3.0)
+    record_success(succeeded, "one", 2.5)
+    assert not is_held(succeeded, "one", 3.0)
+    assert find_hold(succeeded, "other", 3.0).until == pytest.approx(0.2 + PAUSE_S)
+
+
 # Guards against a popular request that is held long, since it was in flight on many
 # servers when the others had not heard of it yet.
 def test_ends_that_were_on_their_way_are_no_failed_trials():
