Move trials and the hold checks of an attempt into modules of their own

crashtrials.py asks for and grants trials, heldattempts.py is what an attempt does before its first send and after a lost answer.

--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -11,7 +11,6 @@
     availability,
     backends,
     loads,
-    quarantine,
     routetable,
     serverlimits,
     serverpaths,
@@ -20,14 +19,13 @@
 from flamingolift_model import Fault, ResultCode
 
 from flamingolift_front import (
-    crashsync,
     crashwatch,
     handover,
+    heldattempts,
     limitgrants,
     serverpool,
 )
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.refusals import quiet_fault, retryable_fault
 from flamingolift_front.requesttrace import SendRecord, may_have_run
@@ -86,7 +84,7 @@
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(retryable_fault(front, ResultCode.DRAINING, detail))
-    held = await _check_hold(front, req, trace)
+    held = await heldattempts.check_hold(front, req, trace)
     if held.is_error():
         return held
     if not serverpaths.is_cut_off(front.paths, trace.service):
@@ -96,20 +94,6 @@
     return await _run_until(front, req, route, trace, deadline)
 
 
-async def _check_hold(front, req, trace) -> Result:
-    """Returns Error with a Fault for a request that is held, unless it is its trial."""
-    hold = crashwatch.hold_of(front, req)
-    if hold is None:
-        return Ok(None)
-    wait_s = hold.until - time.monotonic()
-    if wait_s <= 0.0:
-        wait_s = await crashsync.obtain_trial(front, req, hold)
-    if wait_s > 0.0:
-        return Error(crashwatch.held_fault(front, hold, wait_s))
-    trace.is_trial = True
-    return Ok(None)
-
-
 async def _serve_handed_on(front, req, route, trace, deadline):
     """Serves a request that another instance handed on; it goes no further."""
     front.metrics.handed_on.labels("taken").inc()
@@ -189,7 +173,7 @@
             continue
         trace.attempts += 1
         if outcome is Outcome.LOST:
-            await _note_lost(front, req, trace, backend.entry)
+            await heldattempts.note_lost(front, req, trace, backend.entry)
         if outcome is Outcome.ANSWERED:
             last = forwarded
             if forwarded.call is None and forwarded.response.status < 500:
@@ -205,15 +189,6 @@
     )
 
 
-async def _note_lost(front, req, trace, entry):
-    """Records a lost answer; waits for the verdict if the request may become held."""
-    probe = crashwatch.note_lost(front, req, entry)
-    record, now = front.crashes.record, time.monotonic()
-    is_suspect = quarantine.may_end_more(record, fingerprint_of(req), now)
-    if probe is not None and (trace.is_trial or is_suspect):
-        await asyncio.wait({probe})
-
-
 def _may_still_send(front, route, trace, backend, deadline):
     """Returns whether a request may be sent after the wait for its grant."""
     now = time.monotonic()
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -7,7 +7,8 @@
 from flamingolift_decisions.explanations import explain_routing
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front.crashsync import serve_crashes, serve_trial
+from flamingolift_front.crashsync import serve_crashes
+from flamingolift_front.crashtrials import serve_trial
 from flamingolift_front.heldrequests import serve_held, serve_hold
 from flamingolift_front.helperlist import serve_paths
 from flamingolift_front.limitgrants import serve_grant
--- a/packages/front/src/flamingolift_front/tests/test_crashsync.py
+++ b/packages/front/src/flamingolift_front/tests/test_crashsync.py
@@ -7,7 +7,7 @@
 import msgpack
 import pytest
 from flamingolift_decisions import crashrecord, quarantine
-from flamingolift_front import crashsync, crashwatch, peerlink
+from flamingolift_front import crashsync, crashtrials, crashwatch, peerlink
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.lookups import serve_control
@@ -181,7 +181,7 @@
         for member in members:
             record, now = member.front.crashes.record, time.monotonic()
             hold = quarantine.find_hold(record, "crasher", now)
-            waits.append(await crashsync.obtain_trial(member.front, req, hold))
+            waits.append(await crashtrials.obtain_trial(member.front, req, hold))
         assert sorted(waits)[0] == 0.0
         assert sorted(waits)[1] > quarantine.TRIAL_SPACING_S / 2
 
@@ -195,7 +195,7 @@
             member.is_cut = True
         record = members[0].front.crashes.record
         hold = quarantine.find_hold(record, "crasher", time.monotonic())
-        wait_s = await crashsync.obtain_trial(members[0].front, make_request(), hold)
+        wait_s = await crashtrials.obtain_trial(members[0].front, make_request(), hold)
         assert wait_s == 0.0
 
 
