Mend four faults of held requests found on reading the diff

- An instance that had just started, and so held nothing, granted a trial to each instance that asked; now it says that it does not coordinate the request.
- An end is recorded for the start of the server that was sent the request, also when the entry of its next start arrived meanwhile.
- A report of an end older than all that are kept left its suspects behind, whose next request failed with an internal error.
- An exception that had ended could be told on and on by instances that had forgotten it.
Each with a test; the bound on the start of a server in reports is that of its entry.

--- a/integration/test_crashing_requests.py
+++ b/integration/test_crashing_requests.py
@@ -13,6 +13,7 @@
     call,
     events,
     is_ready,
+    put_server,
     send,
     start_front,
     store_is_lost,
@@ -271,6 +272,21 @@
     assert events(fronts[0], "server_still_runs")
 
 
+# Guards against an end that is put down to the next start of a server, whose entry
+# arrived while the request was in flight.
+async def test_end_is_recorded_for_the_start_that_was_sent_the_request(platform):
+    server = platform.servers["i-read-1"]
+    server.crash_path, server.work_s = "/read/crash", 0.6
+    front = (await start_fronts(platform, 1))[0]
+    sending = asyncio.create_task(send_crash(front, "r"))
+    await wait_until(lambda: server.requests)
+    put_server(platform, server, "reads", born=2, sequence=2)
+    await sending
+    await wait_until(lambda: events(front, "server_ended"))
+    assert events(front, "server_changed")[-1]["server"] == "i-read-1"
+    assert events(front, "server_ended")[0]["started"] == 1
+
+
 # Guards against a download that ends servers after its first bytes and is not counted.
 async def test_request_that_ends_servers_during_their_answer_is_held(platform):
     for number in (2, 3, 4):
--- a/packages/decisions/src/flamingolift_decisions/crashrecord.py
+++ b/packages/decisions/src/flamingolift_decisions/crashrecord.py
@@ -164,6 +164,9 @@
         known = ServerEnd(*key, end.service, end.at, {})
         record.ends[key], changed = known, True
         _drop_excess(record)
+        if key not in record.ends:
+            # It is older than all that are kept.
+            return False
     known.at = min(known.at, end.at)
     for fingerprint, suspicion in end.suspects.items():
         known_suspicion = known.suspects.get(fingerprint)
--- a/packages/decisions/src/flamingolift_decisions/tests/test_quarantine.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_quarantine.py
@@ -236,6 +236,18 @@
     assert min(end.at for end in record.ends.values()) == 50.0
 
 
+# Guards against a report of an end that is older than all that are kept.
+def test_report_that_does_not_fit_leaves_nothing_behind():
+    record = make_record()
+    for number in range(MAX_ENDS):
+        record_end(record, (f"s{number}", 1), "reads", ["a"], 100.0 + number)
+    older = ServerEnd("older", 1, "reads", 1.0, {"b": Suspicion.NONE})
+    assert not merge_end(record, older, 400.0)
+    assert "b" not in record.keys_of
+    assert ("older", 1) not in record.ends
+    assert is_held(record, "a", 400.0)
+
+
 suspicions = st.sampled_from([Suspicion(value) for value in range(4)])
 reports = st.lists(
     st.tuples(
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -315,8 +315,8 @@
         late = isinstance(exc, TimeoutError)
         if not conn.stream.ended and not late:
             outcome = Outcome.LOST
-            if forwarded.backend is not None:
-                crashwatch.note_lost(front, req, forwarded.backend.entry)
+            if forwarded.entry is not None:
+                crashwatch.note_lost(front, req, forwarded.entry)
         elif not conn.stream.ended and conn.stream.writable is None:
             outcome = Outcome.LATE
         cause = "the deadline passed" if late else str(exc) or type(exc).__name__
--- a/packages/front/src/flamingolift_front/crashsync.py
+++ b/packages/front/src/flamingolift_front/crashsync.py
@@ -186,6 +186,7 @@
             _exception_report(fingerprint, record.exceptions[fingerprint], now)
             for fingerprint in fingerprints
             if fingerprint in record.exceptions
+            and now < record.exceptions[fingerprint].until
         ],
     }
     return msgpack.packb(message)
@@ -255,6 +256,9 @@
 
 
 def _apply_exception(front, report, now):
+    # One that has ended would be told again by each instance that had forgotten it.
+    if report.remaining_ms <= 0.0:
+        return
     exception = quarantine.HoldException(
         report.hold, report.reason, report.number, now, now + report.remaining_ms / 1e3
     )
--- a/packages/front/src/flamingolift_front/crashtrials.py
+++ b/packages/front/src/flamingolift_front/crashtrials.py
@@ -88,11 +88,16 @@
         query: Map with the fingerprint in `request`.
 
     Returns:
-        HttpResponse with a TrialReply.
+        HttpResponse with a TrialReply; an instance that stops, or does not hold the
+        request, coordinates no trials of it.
     """
     fingerprint, now = query.get("request", ""), time.monotonic()
     if not fingerprint:
         return problem_response(Fault(ResultCode.BAD_REQUEST, "request is missing"))
-    wait_s = quarantine.take_trial(front.crashes.record, fingerprint, now)
-    reply = TrialReply(coordinates=not front.stopping, wait_ms=wait_s * 1000.0)
+    record = front.crashes.record
+    reply = TrialReply(coordinates=False)
+    # An instance that has just started cannot tell what was tried already.
+    if not front.stopping and quarantine.find_hold(record, fingerprint, now):
+        wait_s = quarantine.take_trial(record, fingerprint, now)
+        reply = TrialReply(wait_ms=wait_s * 1000.0)
     return binary_response(200, msgpack.packb(to_plain(reply)))
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -163,6 +163,7 @@
                 continue
             if not _may_still_send(front, route, trace, backend, deadline):
                 continue
+        entry = backend.entry
         outcome, forwarded = await _send(
             front, req, route, trace, backend, rank, deadline
         )
@@ -173,7 +174,7 @@
             continue
         trace.attempts += 1
         if outcome is Outcome.LOST:
-            await heldattempts.note_lost(front, req, trace, backend.entry)
+            await heldattempts.note_lost(front, req, trace, entry)
         if outcome is Outcome.ANSWERED:
             last = forwarded
             if forwarded.call is None and forwarded.response.status < 500:
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -139,14 +139,16 @@
             is complete.
         backend: Backend that sends the rest of the body; None like `call`, and when
             another instance sends it.
+        entry: BackendEntry of the backend at the send; None like `backend`.
     """
 
-    __slots__ = ("backend", "call", "response")
+    __slots__ = ("backend", "call", "entry", "response")
 
-    def __init__(self, response, call=None, backend=None):
+    def __init__(self, response, call=None, backend=None, entry=None):
         self.response = response
         self.call = call
         self.backend = backend
+        self.entry = entry
 
 
 async def send_request(front, req, route, backend, deadline, send):
@@ -211,7 +213,7 @@
         if not finished:
             bytestream.abort(stream)
     if not response.complete:
-        return Outcome.ANSWERED, ForwardedResponse(response, call, backend)
+        return Outcome.ANSWERED, ForwardedResponse(response, call, backend, entry)
     returned_at = time.monotonic()
     serverpool.return_connection(
         front.pool, entry.server_id, address, call, response, returned_at
--- a/packages/front/src/flamingolift_front/tests/test_crashsync.py
+++ b/packages/front/src/flamingolift_front/tests/test_crashsync.py
@@ -199,6 +199,28 @@
         assert wait_s == 0.0
 
 
+# Guards against an instance that has just started and grants a trial to each that asks.
+async def test_instance_that_does_not_hold_a_request_grants_no_trial():
+    front = make_front()
+    response = await handle_internal(front, "/trial?request=crasher")
+    assert msgpack.unpackb(response.body)["coordinates"] is False
+
+
+# Guards against an exception that has ended and is told on and on by instances that
+# had forgotten it.
+async def test_exception_that_has_ended_is_not_told():
+    front = make_front()
+    now = time.monotonic()
+    ended = quarantine.HoldException(True, "over", 1, now - 9.0, now - 1.0)
+    crashwatch.apply_exception(front, "crasher", ended)
+    response = await handle_internal(front, "/crashes?known=other")
+    assert msgpack.unpackb(response.body)["exceptions"] == []
+    report = {"fingerprint": "x", "hold": True, "reason": "r", "number": 1}
+    body = msgpack.packb({"exceptions": [{**report, "remaining_ms": 0.0}]})
+    await handle_internal(front, "/crashes", body)
+    assert "x" not in front.crashes.record.exceptions
+
+
 # Guards against a malformed report that hides the good ones beside it.
 @pytest.mark.parametrize(
     "odd", [{}, {"server": 5}, {"server": "s", "started_ms": -1}, 7, None, "s"]
