Make one function of a peer's request and reply, and of the control ports' openers

Found on reading the diff again. limitgrants and crashsync each opened the link, sent and read under a time limit; peerlink.exchange is now that, and open_post stands beside open_get instead of one function with an optional body. run_front opened the peer port outside the loop of the other control ports, since its handler takes a body; all are openers in one map again. The text of merge_end said that the record keeps the end that it is given; it copies it. No behaviour changes.

--- a/packages/decisions/src/flamingolift_decisions/crashrecord.py
+++ b/packages/decisions/src/flamingolift_decisions/crashrecord.py
@@ -147,7 +147,7 @@
 
     Args:
         record: CrashRecord.
-        end: ServerEnd, which becomes the record's if it is new.
+        end: ServerEnd; what it says is copied.
         now: Current time (s, monotonic).
 
     Returns:
--- a/packages/front/src/flamingolift_front/crashsync.py
+++ b/packages/front/src/flamingolift_front/crashsync.py
@@ -23,7 +23,6 @@
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.responses import binary_response
-from flamingolift_front.timelimit import time_limit
 
 __all__ = [
     "MAX_REPORT_BYTES",
@@ -155,10 +154,9 @@
     silent_s = SILENT_S
     try:
         with peerlink.failures_as_peer_errors(link):
-            async with time_limit(time.monotonic() + CALL_TIMEOUT_S):
-                await peerlink.open_link(link)
-                call = peerlink.open_request(link, target, message)
-                response = await httpcall.read_response(call, httpcall.accept_any)
+            call, response = await peerlink.exchange(
+                link, target, CALL_TIMEOUT_S, message
+            )
             if response.status == 404:
                 silent_s = UNSUPPORTED_S
                 raise httpcall.InvalidResponseError("its build has no crash reports")
--- a/packages/front/src/flamingolift_front/limitgrants.py
+++ b/packages/front/src/flamingolift_front/limitgrants.py
@@ -18,7 +18,6 @@
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.responses import binary_response, problem_response
-from flamingolift_front.timelimit import time_limit
 
 __all__ = ["close_ended_links", "observe_answer", "obtain_grant", "serve_grant"]
 
@@ -186,10 +185,8 @@
     idle = front.grant_links.get(address)
     link = idle.pop() if idle else peerlink.PeerLink(address)
     with peerlink.failures_as_peer_errors(link):
-        async with time_limit(time.monotonic() + GRANT_TIMEOUT_S):
-            await peerlink.open_link(link)
-            call = peerlink.open_get(link, f"/grant?{urllib.parse.urlencode(query)}")
-            response = await httpcall.read_response(call, httpcall.accept_any)
+        target = f"/grant?{urllib.parse.urlencode(query)}"
+        call, response = await peerlink.exchange(link, target, GRANT_TIMEOUT_S)
         if response.status != 200:
             raise httpcall.InvalidResponseError(f"status {response.status}")
         reply = from_plain(GrantReply, msgpack.unpackb(response.body))
--- a/packages/front/src/flamingolift_front/peerlink.py
+++ b/packages/front/src/flamingolift_front/peerlink.py
@@ -2,21 +2,24 @@
 
 import asyncio
 import contextlib
+import time
 
 import h11
 import msgpack
 
 from flamingolift_front import bytestream, httpcall
+from flamingolift_front.timelimit import time_limit
 
 __all__ = [
     "PeerError",
     "PeerLink",
     "close_link",
+    "exchange",
     "failures_as_peer_errors",
     "link_name",
     "open_get",
     "open_link",
-    "open_request",
+    "open_post",
 ]
 
 CONNECT_TIMEOUT_S = 0.4
@@ -85,27 +88,48 @@
     Returns:
         HttpCall.
     """
-    return open_request(link, target, None)
+    headers = [(b"Host", link.address[0].encode())]
+    return httpcall.open_call(link.stream, b"GET", target.encode(), headers, b"")
 
 
-def open_request(link, target, body):
-    """Sends a request on an open link: a GET, or a POST if it has a body.
+def open_post(link, target, body):
+    """Sends a POST request on an open link.
 
     Args:
         link: PeerLink with a connection.
         target: Request target (str).
-        body: Body (bytes), or None.
+        body: Body (bytes).
 
     Returns:
         HttpCall.
     """
-    method, headers = b"GET", [(b"Host", link.address[0].encode())]
-    if body is not None:
-        method = b"POST"
-        headers.append((b"Content-Length", str(len(body)).encode()))
-    return httpcall.open_call(
-        link.stream, method, target.encode(), headers, body or b""
-    )
+    length = str(len(body)).encode()
+    headers = [(b"Host", link.address[0].encode()), (b"Content-Length", length)]
+    return httpcall.open_call(link.stream, b"POST", target.encode(), headers, body)
+
+
+async def exchange(link, target, timeout_s, body=None):
+    """Sends a request to a peer and reads the response.
+
+    Args:
+        link: PeerLink, which is opened if needed.
+        target: Request target (str).
+        timeout_s: Longest time for all of it (s).
+        body: Body (bytes), or None for a GET request.
+
+    Returns:
+        Tuple of the HttpCall and the HttpResponse.
+
+    Raises:
+        OSError: The connection was refused, not made in time or lost.
+        TimeoutError: There was no response in time.
+        InvalidResponseError: The response cannot be used.
+    """
+    async with time_limit(time.monotonic() + timeout_s):
+        await open_link(link)
+        is_get = body is None
+        call = open_get(link, target) if is_get else open_post(link, target, body)
+        return call, await httpcall.read_response(call, httpcall.accept_any)
 
 
 @contextlib.contextmanager
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -87,18 +87,18 @@
 
 async def _listen(front, lookup_handler, ready_handler):
     cfg = front.cfg
-    handlers = {
-        cfg.ready_port: ready_handler,
-        cfg.lookup_port: lookup_handler,
-        cfg.metrics_port: lookups.serve_metrics,
+    openers = {
+        cfg.ready_port: _control_opener(front, ready_handler),
+        cfg.lookup_port: _control_opener(front, lookup_handler),
+        cfg.peer_port: _control_opener(
+            front, handle_internal, crashsync.MAX_REPORT_BYTES
+        ),
+        cfg.metrics_port: _control_opener(front, lookups.serve_metrics),
     }
     listeners = [await _open_listener(cfg, cfg.caller_port, _caller_opener(front))]
-    for port, handler in handlers.items():
+    for port, opener in openers.items():
         if port:
-            opener = _control_opener(front, handler)
             listeners.append(await _open_listener(cfg, port, opener))
-    opener = _control_opener(front, handle_internal, crashsync.MAX_REPORT_BYTES)
-    listeners.append(await _open_listener(cfg, cfg.peer_port, opener))
     if cfg.handover_port:
         opener = _caller_opener(front, from_instance=True)
         listeners.append(await _open_listener(cfg, cfg.handover_port, opener))
