Start safe requests that are sent before the first answer side by side

Change: requests behind the current one are read when their bytes arrive, with a parser for each; those of routes that may be repeated are forwarded at once (decisions/earlystarts.py, front/readahead.py). Answers leave in order. A booking starts when all answers before it are sent. What stands behind a close is cancelled at its server and counts as not read. A request whose deadline has passed before a send is refused at once as not run. request_done tells the wait; trace reads it out.

Ruled out: starting bookings early (a caller sends them again behind an answer that closes).

--- a/packages/cli/src/flamingolift_cli/tests/test_tracing.py
+++ b/packages/cli/src/flamingolift_cli/tests/test_tracing.py
@@ -39,3 +39,15 @@
         end = make_end("front-1", 9.0, [["i-1", 0, 0, outcome.value, 1.0]])
         _own, _context, sentences = explain_request([end], "q1")
         assert f") {outcome.value} after" not in sentences[0] or outcome == "answered"
+
+
+def test_request_that_stood_behind_another_says_for_how_long():
+    waits = {"waited_ms": 120.5, "early": True}
+    end = make_end("front-1", 9.0, [["i-1", 0, 0, "answered", 30.0]], **waits)
+    assert (
+        "for 120.5 ms and was started meanwhile" in explain_request([end], "q1")[2][0]
+    )
+    end.update(early=False)
+    assert "was started after them" in explain_request([end], "q1")[2][0]
+    end.update(outcome="unread")
+    assert "counts as not read" in explain_request([end], "q1")[2][0]
--- a/packages/cli/src/flamingolift_cli/tracing.py
+++ b/packages/cli/src/flamingolift_cli/tracing.py
@@ -98,6 +98,8 @@
         f"{end['instance']} took it by policy {end['policy']}"
         f" (route {end['route'] or 'none'}, service {end['service'] or 'none'})"
     ]
+    if end.get("waited_ms"):
+        parts.append(_describe_wait(end))
     for server, rank, load, outcome, elapsed_ms in end["sends"]:
         description = _SEND_OUTCOMES.get(outcome, outcome)
         known = f"place {rank}, {load} requests known on it"
@@ -108,12 +110,24 @@
     return "; ".join(parts) + "."
 
 
+def _describe_wait(end):
+    started = "was started meanwhile" if end["early"] else "was started after them"
+    return (
+        f"it stood behind earlier requests of its connection for {end['waited_ms']} ms"
+        f" and {started}"
+    )
+
+
 def _describe_end(end):
     after = f"after {end['elapsed_ms']} ms"
     if end["outcome"] == "answered":
         return f"the caller got the server's {end['status']} {after}"
     if end["outcome"] == "caller_left":
         return f"the caller left {after}"
+    if end["outcome"] == "unread":
+        return (
+            f"the connection closed before its turn {after}, so it counts as not read"
+        )
     info = RESULT_CODE_INFO[ResultCode[end["outcome"]]]
     code = ResultCode[end["outcome"]].value
     detail = f" ({end['detail']})" if end["detail"] else ""
--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -14,6 +14,7 @@
     "budget",
     "crashrecord",
     "documents",
+    "earlystarts",
     "evacuations",
     "explanations",
     "fairness",
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -1,7 +1,9 @@
-"""Callers' HTTP/1.1 connections: one task for each, one request at a time."""
+"""Callers' HTTP/1.1 connections: one task for each, which answers in order."""
 
 import asyncio
+import collections
 import contextlib
+import functools
 import socket
 import struct
 import time
@@ -9,13 +11,12 @@
 import h11
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
-from flamingolift_front import bytestream, crashwatch, forwarding, httpcall
+from flamingolift_front import bytestream, crashwatch, forwarding, httpcall, readahead
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
 from flamingolift_front.refusals import retryable_fault
-from flamingolift_front.requestreading import read_request
-from flamingolift_front.requesttrace import Trace, may_have_run
+from flamingolift_front.requesttrace import may_have_run
 from flamingolift_front.responses import problem_response
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
@@ -33,38 +34,48 @@
 
     Attributes:
         stream: ByteStream.
-        parser: h11 connection.
-        max_header_bytes: Largest head that the parser takes (bytes); None before the
-            first request.
+        parser: h11 connection that encodes the current answer.
+        reading: h11 connection that reads the next request, or that read the last one.
+        reader: Task that reads requests before their turn, or None.
+        ahead: Deque of the Exchange objects of the requests that it read.
+        arrived: Event that is set when it has read a request, or ends.
+        turn: Event that is set while a request whose turn it is is being read.
         task: Task that serves the connection.
         busy: Whether a request is being received or served.
         from_instance: Whether another instance hands requests on over it.
         closing: Whether the connection closes after the current response, or when
             no request has arrived.
-        req: CallerRequest that was read whole and has no complete answer yet, or
-            None.
+        req: CallerRequest that is being answered, or None.
         trace: Trace of that request.
         responding: Whether bytes of the answer to it were sent.
     """
 
     __slots__ = (
+        "ahead",
+        "arrived",
         "busy",
         "closing",
         "from_instance",
-        "max_header_bytes",
         "parser",
+        "reader",
+        "reading",
         "req",
         "responding",
         "stream",
         "task",
         "trace",
+        "turn",
     )
 
     def __init__(self, stream, parser, from_instance):
         self.stream = stream
         self.parser = parser
+        self.reading = parser
+        self.reader = None
+        self.ahead = collections.deque()
+        self.arrived = asyncio.Event()
+        self.turn = asyncio.Event()
         self.from_instance = from_instance
-        self.max_header_bytes = None
         self.task = None
         self.busy = False
         self.closing = False
@@ -84,6 +95,8 @@
     parser = h11.Connection(h11.SERVER)
     conn = CallerConnection(stream, parser, from_instance)
     front.connections.add(conn)
+    stream.on_data = lambda _size: readahead.read_ahead(front, conn)
+    stream.on_end = functools.partial(readahead.cancel_started, conn)
     conn.task = asyncio.get_running_loop().create_task(_serve(front, conn))
 
 
@@ -111,8 +124,8 @@
     cause = "idle"
     try:
         while await _serve_one(front, conn) and not conn.closing:
-            conn.busy = False
-            conn.parser.start_next_cycle()
+            conn.busy = bool(conn.ahead or conn.reader)
+        await _drain_input(conn)
     except asyncio.CancelledError:
         # The caller disconnected, or the instance is stopping.
         cause = "cancelled"
@@ -128,7 +141,7 @@
             codes = (ResultCode.INTERNAL_NOT_RUN, ResultCode.INTERNAL)
             await _answer_unfinished(front, conn, codes, cause)
     finally:
-        _record_end(front, conn, cause)
+        await _record_end(front, conn, cause)
         await _close(front, conn)
 
 
@@ -181,12 +194,18 @@
     return parser
 
 
-def _record_end(front, conn, cause):
-    """Records a request, or bytes of one, that this instance leaves unanswered."""
+async def _record_end(front, conn, cause):
+    """Records requests, and bytes of them, that this instance leaves unanswered."""
     by_caller = conn.stream.ended
     if conn.req is not None:
         end = "caller_left" if by_caller else "unanswered"
         front.metrics.request_ends.labels(end).inc()
+    unread_requests = len(conn.ahead)
+    for exchange in await readahead.drop_ahead(front, conn):
+        end = "caller_left" if by_caller else "unread"
+        front.metrics.requests_read.inc()
+        front.metrics.request_ends.labels(end).inc()
+        _log_request(front, exchange.received.ok, exchange.trace, end, 0, cause)
     if by_caller:
         return
     if conn.req is not None:
@@ -195,28 +214,44 @@
         log_event(
             front.log, "request_unanswered", id=request_id, cause=cause, age_ms=age_ms
         )
-    unread = len(conn.stream.buffer) + len(conn.parser.trailing_data[0])
-    if unread:
-        log_event(front.log, "bytes_unread", bytes=unread, cause=cause)
+    unread = len(conn.stream.buffer) + len(conn.reading.trailing_data[0])
+    if unread or unread_requests:
+        log_event(
+            front.log,
+            "bytes_unread",
+            bytes=unread,
+            requests=unread_requests,
+            cause=cause,
+        )
 
 
 async def _serve_one(front, conn):
     """Serves one request; returns whether the connection stays open."""
-    received = await read_request(front, conn)
+    exchange = await readahead.next_exchange(front, conn)
+    received, conn.parser = exchange.received, exchange.parser
     if received.is_error():
         await _send_response(front, conn, problem_response(received.error))
         await _discard_input(conn.stream)
         return False
     if received.ok is None:
         return False
-    conn.req, conn.trace, conn.responding = received.ok, Trace(), False
+    conn.req, conn.trace, conn.responding = received.ok, exchange.trace, False
     front.metrics.requests_read.inc()
-    end = await _handle_request(front, conn, conn.req)
+    readahead.read_ahead(front, conn)
+    end = await _handle_request(front, conn, exchange)
     front.metrics.request_ends.labels(end).inc()
     conn.req = None
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
 
+async def _drain_input(conn):
+    """Takes what stands behind the last answer, so that the close resets nothing."""
+    readahead.cancel_started(conn)
+    await readahead.stop_reading(conn)
+    if conn.ahead or conn.stream.buffer or conn.reading.trailing_data[0]:
+        await _discard_input(conn.stream)
+
+
 async def _discard_input(stream):
     """Takes the rest of a refused request, for a time.
 
@@ -231,27 +266,25 @@
                 break
 
 
-async def _handle_request(front, conn, req):
+async def _handle_request(front, conn, exchange):
     """Forwards a request and sends the response to the caller.
 
     Returns:
         "answered" with a server's response, "refused" with one of the instance, or
         "caller_left".
     """
-    trace = conn.trace
-    task = asyncio.current_task()
-    conn.stream.on_end = task.cancel
+    req, trace = conn.req, conn.trace
     if conn.stream.ended:
+        await readahead.drop_exchange(front, exchange)
         _log_request(front, req, trace, "caller_left", 0)
         return "caller_left"
     try:
-        result = await forwarding.forward(front, req, trace)
+        with _cancelled_by_end(conn):
+            result = await (exchange.task or forwarding.forward(front, req, trace))
     except asyncio.CancelledError:
         if conn.stream.ended:
             _log_request(front, req, trace, "caller_left", 0)
         raise
-    finally:
-        conn.stream.on_end = None
     if result.is_error():
         fault = result.error
         status = RESULT_CODE_INFO[fault.code].status
@@ -263,6 +296,26 @@
     return "answered"
 
 
+@contextlib.contextmanager
+def _cancelled_by_end(conn):
+    """Cancels the current task, besides what was started early, when the caller leaves.
+
+    Args:
+        conn: CallerConnection that the task serves.
+    """
+    on_end, task = conn.stream.on_end, asyncio.current_task()
+
+    def cancel():
+        on_end()
+        task.cancel()
+
+    conn.stream.on_end = cancel
+    try:
+        yield
+    finally:
+        conn.stream.on_end = on_end
+
+
 def _log_request(front, req, trace, outcome, status, detail=""):
     elapsed_s = time.monotonic() - req.received_at
     front.metrics.requests.labels(trace.route, outcome).inc()
@@ -283,6 +336,8 @@
         sends=[_encode_send(send) for send in trace.sends],
         withheld=trace.withheld,
         handed_to=trace.handed_to,
+        early=trace.early,
+        waited_ms=trace.waited_ms,
         detail=detail,
         fingerprint=fingerprint_of(req) if failure and trace.sends else "",
     )
@@ -303,11 +358,11 @@
         await _send_response(front, conn, forwarded.response, req.method)
         return
     cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
-    conn.stream.on_end = asyncio.current_task().cancel
     outcome = Outcome.CANCELLED
     try:
-        async with asyncio.timeout(cut_at - time.monotonic()):
-            await _stream_response(front, conn, forwarded)
+        with _cancelled_by_end(conn):
+            async with asyncio.timeout(cut_at - time.monotonic()):
+                await _stream_response(front, conn, forwarded)
         outcome = Outcome.ANSWERED
         if forwarded.response.status < 500:
             crashwatch.note_success(front, req)
@@ -328,7 +383,6 @@
         _cut_response(front, conn, req, cause)
         raise
     finally:
-        conn.stream.on_end = None
         bytestream.abort(forwarded.call.stream)
         record_stream_end(front, forwarded.backend, outcome)
 
@@ -381,8 +435,11 @@
 
 
 def _encode_head(front, conn, response, headers):
-    """Encodes a response's head; announces the close while the instance stops."""
-    if front.stopping:
+    """Encodes a response's head; announces the close while the instance stops.
+
+    Requests that were started early are answered before the close.
+    """
+    if front.stopping and all(exchange.task is None for exchange in conn.ahead):
         conn.closing = True
         headers.append((b"Connection", b"close"))
     head = h11.Response(
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -39,7 +39,7 @@
 from flamingolift_front.state import response_times_for, retry_budget_for
 from flamingolift_front.timelimit import time_limit
 
-__all__ = ["forward"]
+__all__ = ["find_route", "forward"]
 
 DEADLINE_GRACE_S = 0.12
 """Time after the deadline during which a response is still accepted (s): covers a
@@ -54,6 +54,19 @@
 """Response statuses after which an idempotent request is retried."""
 
 
+def find_route(table, req):
+    """Returns the route of a request, or None.
+
+    Args:
+        table: RouteTable, or None before the first policy.
+        req: CallerRequest.
+    """
+    if table is None:
+        return None
+    path = req.target.partition(b"?")[0].decode("latin-1")
+    return routetable.match_route(table, req.host, path)
+
+
 async def forward(front, req, trace) -> Result:
     """Sends a request to a backend server and retries it where that is allowed.
 
@@ -73,14 +86,15 @@
             )
         )
     trace.policy = table.number
-    path = req.target.partition(b"?")[0].decode("latin-1")
-    route = routetable.match_route(table, req.host, path)
+    route = find_route(table, req)
     if route is None:
         return Error(Fault(ResultCode.NO_ROUTE, f"policy {table.number}"))
     trace.route = route.name
     trace.service = routetable.pick_service(route, req.request_id) or ""
     now = time.monotonic()
     deadline = min(req.deadline_at, req.received_at + route.timeout_ms / 1000.0)
+    if deadline <= now:
+        return Error(_timeout_fault(front, trace))
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(retryable_fault(front, ResultCode.DRAINING, detail))
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -32,7 +32,7 @@
 
 
 async def read_request(front, conn) -> Result:
-    """Reads one request.
+    """Reads one request; its parser is then the connection's `reading`.
 
     Args:
         front: Front.
@@ -44,10 +44,10 @@
     """
     if not await _wait_for_request(front, conn):
         return Ok(None)
-    conn.busy = bool(conn.parser.trailing_data[0] or conn.stream.buffer)
+    conn.busy = bool(conn.reading.trailing_data[0] or conn.stream.buffer)
     # A policy may have changed the limits while the connection was idle.
     limits = _current_limits(front)
-    _apply_header_limit(conn, limits)
+    conn.reading = _next_parser(conn, limits)
     try:
         head = await _read_head(conn, limits)
     except TimeoutError:
@@ -90,7 +90,7 @@
 
     The wait ends earlier when the connection is to close.
     """
-    if conn.parser.trailing_data[0]:
+    if conn.reading.trailing_data[0]:
         return True
     idle_since = time.monotonic()
     while True:
@@ -105,16 +105,14 @@
             return False
 
 
-def _apply_header_limit(conn, limits):
-    """Replaces the parser of an idle connection when the limit of its heads changed."""
+def _next_parser(conn, limits):
+    """Returns a parser of the next request, which has the bytes behind the last one."""
+    received, _ended = conn.reading.trailing_data
     max_bytes = _max_head_bytes(conn, limits)
-    if conn.max_header_bytes == max_bytes:
-        return
-    received, _ended = conn.parser.trailing_data
-    conn.max_header_bytes = max_bytes
-    conn.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
+    parser = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
     if received:
-        conn.parser.receive_data(received)
+        parser.receive_data(received)
+    return parser
 
 
 def _max_head_bytes(conn, limits):
@@ -126,13 +124,13 @@
     """Returns the h11 request, or None when the caller closed an idle connection."""
     ends_at = time.monotonic() + limits.header_timeout_ms / 1000.0
     while True:
-        event = conn.parser.next_event()
+        event = conn.reading.next_event()
         if isinstance(event, h11.Request):
             return event
         if isinstance(event, h11.ConnectionClosed):
             return None
         data = await bytestream.read_before(conn.stream, ends_at)
-        conn.parser.receive_data(data)
+        conn.reading.receive_data(data)
 
 
 def _head_size(head):
@@ -146,7 +144,7 @@
     ends_at = received_at + _idle_time(limits)
     body = bytearray()
     while True:
-        event = conn.parser.next_event()
+        event = conn.reading.next_event()
         if isinstance(event, h11.Data):
             body += event.data
             if len(body) > limits.max_body_bytes:
@@ -154,11 +152,20 @@
         elif isinstance(event, h11.EndOfMessage):
             return bytes(body)
         else:
-            if conn.parser.they_are_waiting_for_100_continue:
-                continue_event = h11.InformationalResponse(status_code=100, headers=[])
-                bytestream.write(conn.stream, conn.parser.send(continue_event))
+            if conn.reading.they_are_waiting_for_100_continue:
+                # It follows the answers to the earlier requests.
+                await conn.turn.wait()
+                ends_at = time.monotonic() + _idle_time(limits)
+                _send_continue(conn)
             data = await bytestream.read_before(conn.stream, ends_at)
-            conn.parser.receive_data(data)
+            conn.reading.receive_data(data)
+
+
+def _send_continue(conn):
+    """Asks for the body of a request, unless it comes unasked."""
+    if not conn.stream.buffer:
+        continue_event = h11.InformationalResponse(status_code=100, headers=[])
+        bytestream.write(conn.stream, conn.reading.send(continue_event))
 
 
 def _build_request(front, conn, head, body, received_at) -> Result:
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -58,10 +58,14 @@
         is_trial: Whether the request is held and this is its one trial.
         withheld: List of (server id, instance that refused the grant, time until the
             next one (s)) for servers whose limit was reached.
+        waited_ms: Time from its arrival until the earlier requests of its connection
+            were answered (ms); 0 when there were none.
+        early: Whether it was forwarded before they were answered.
     """
 
     __slots__ = (
         "attempts",
+        "early",
         "handed_to",
         "is_trial",
         "policy",
@@ -71,6 +75,7 @@
         "shed",
         "tried",
         "unreached",
+        "waited_ms",
         "withheld",
     )
 
@@ -86,6 +91,8 @@
         self.handed_to = ""
         self.is_trial = False
         self.withheld = []
+        self.waited_ms = 0.0
+        self.early = False
 
 
 def may_have_run(trace):
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -88,6 +88,8 @@
             handed on may still be sent; None for a caller's own request.
         fingerprint: Digest that equal requests share (hexadecimal); empty until it is
             needed.
+        spool_bytes: Part of the answer's body that is buffered before its first byte
+            is passed on (bytes).
     """
 
     __slots__ = (
@@ -101,6 +103,7 @@
         "object_key",
         "received_at",
         "request_id",
+        "spool_bytes",
         "target",
     )
 
@@ -128,6 +131,7 @@
         self.deadline_at = deadline_at
         self.attempts_left = attempts_left
         self.fingerprint = ""
+        self.spool_bytes = httpcall.SPOOL_BYTES
 
 
 class ForwardedResponse:
@@ -195,7 +199,7 @@
         field = (expected, entry.server_id.encode())
         call = start_call(front, req, stream, deadline, field)
         matches = _response_matcher(front, req, is_reused)
-        response = await httpcall.read_response(call, matches)
+        response = await httpcall.read_response(call, matches, req.spool_bytes)
         finished = True
     except (ConnectionError, httpcall.InvalidResponseError) as exc:
         log_event(
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -27,6 +27,7 @@
     ),
     "bytes_unread": (
         "bytes",
+        "requests",
         "cause",
     ),
     "log_lines_dropped": ("counts",),
@@ -232,6 +233,8 @@
         "sends",
         "withheld",
         "handed_to",
+        "early",
+        "waited_ms",
         "detail",
         "fingerprint",
     ),
