Time a drain from the store's acceptance, and wait for what two fault tests need

Cause, traced beside six busy processes and plays (load 23 on 6 cores): the command line took 1.84 to 2.60 s until the store had the drain, and the tests counted that as the drain's; the last new request came 0.00 to 0.33 s after it.

test_server_that_underreports_its_load: every refusal was 'no slot became free' after the policy's 500 ms; in a fresh fleet the dispatcher grants half of its slots for 1 s.

--- a/integration/test_drain.py
+++ b/integration/test_drain.py
@@ -10,6 +10,7 @@
 from flamingolift_standins.fleet import start_instance, wait_ready, wait_until
 from flamingolift_standins.fleetcontrol import (
     backend_reports,
+    policy_written_at,
     publish_live,
     set_backend,
 )
@@ -61,21 +62,42 @@
 
 
 async def last_start_after(fleet, server_ids, drained_at, settle_s):
-    """Returns the time from a drain to the last request that a server started (s)."""
+    """Returns the time from a drain to the last request that a server started (s).
+
+    All processes read the same monotonic clock, so that no delay of a report counts.
+    """
     await asyncio.sleep(max(0.0, drained_at + settle_s - time.monotonic()))
     report = await backend_reports(fleet)
-    now = time.monotonic()
-    ages = [report["servers"][name]["age_s"] for name in server_ids]
-    return max(0.0, now - min(ages) - drained_at)
+    starts = [report["servers"][name]["last_start"] for name in server_ids]
+    return max(0.0, max(starts) - drained_at)
+
+
+async def drain_by_command(fleet, *target):
+    """Drains by the command line; returns when the store took the drain (s, monotonic).
+
+    The start of the command's process is no part of the drain.
+    """
+    status, output = await run_command(fleet, "drain", *target)
+    assert status == 0, output
+    return await policy_written_at(fleet)
 
 
 async def drain_under_traffic(fleet, action, server_ids, settle_s=4.5):
-    """Runs a drain under load; returns (time to the last start (s), TrafficResults)."""
+    """Runs a drain under load; returns (time to the last start (s), TrafficResults).
+
+    Args:
+        fleet: Fleet.
+        action: Coroutine function that drains; returns the time of the drain (s,
+            monotonic).
+        server_ids: Ids of the servers that are drained.
+        settle_s: Time after the drain in which requests are looked for (s).
+    """
     stop, traffic = asyncio.Event(), TrafficResults()
     running = asyncio.ensure_future(run_traffic(fleet, stop, traffic))
     await asyncio.sleep(1.5)
-    drained_at = time.monotonic()
-    await action()
+    asked_at = time.monotonic()
+    drained_at = await action()
+    print(f"drained {drained_at - asked_at:.2f} s after it was asked for")
     last_start_s = await last_start_after(fleet, server_ids, drained_at, settle_s)
     stop.set()
     await running
@@ -85,8 +107,7 @@
 
 async def test_operator_drains_a_backend_server(fleet):
     async def action():
-        status, output = await run_command(fleet, "drain", "server", "timetable-1")
-        assert status == 0, output
+        return await drain_by_command(fleet, "server", "timetable-1")
 
     last_start_s, traffic = await drain_under_traffic(fleet, action, ["timetable-1"])
     assert last_start_s <= LAST_REQUEST_S
@@ -96,7 +117,9 @@
 
 async def test_health_check_alone_drains(fleet):
     async def action():
+        drained_at = time.monotonic()
         await set_backend(fleet, "timetable-2", state="draining")
+        return drained_at
 
     last_start_s, traffic = await drain_under_traffic(fleet, action, ["timetable-2"])
     assert last_start_s <= LAST_REQUEST_S
@@ -109,7 +132,9 @@
 
     async def action():
         entry["state"] = "leaving"
+        drained_at = time.monotonic()
         await publish_live(fleet)
+        return drained_at
 
     last_start_s, traffic = await drain_under_traffic(fleet, action, ["timetable-3"])
     assert last_start_s <= LAST_REQUEST_S
@@ -130,8 +155,7 @@
     ]
 
     async def action():
-        status, output = await run_command(fleet, "drain", kind, name)
-        assert status == 0, output
+        return await drain_by_command(fleet, kind, name)
 
     last_start_s, traffic = await drain_under_traffic(fleet, action, servers)
     assert last_start_s <= LAST_REQUEST_S
--- a/integration/test_faults.py
+++ b/integration/test_faults.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+from flamingolift_daemon.dispatching import RECOVERY_S
 from flamingolift_standins.faultproxy import start_proxy
 from flamingolift_standins.fleet import (
     operator_get,
@@ -66,7 +67,14 @@
     """All open connections to one server stop passing traffic; new ones work."""
     inst = instance_named(fleet, "accra-central-1")
     proxy, entry = await insert_proxy(fleet, "timetable-1")
-    await asyncio.gather(*(fetch(fleet, inst, "/s/timetable/warm") for _ in range(60)))
+
+    async def uses_proxy():
+        await asyncio.gather(
+            *(fetch(fleet, inst, "/s/timetable/warm") for _ in range(60))
+        )
+        return proxy.connections
+
+    await wait_until(uses_proxy, DETECTION_TIMEOUT_S, "connections by the proxy")
     proxy.freeze_open_connections()
     frozen = len(proxy.frozen)
     started = time.monotonic()
@@ -172,6 +180,9 @@
     await reset_backends(fleet)
     await set_backend(fleet, "timetable-1", reported_load=0, slow=20.0)
     inst = instance_named(fleet, "accra-central-1")
+    # A new dispatcher grants only half of its slots for a time.
+    await fetch(fleet, inst, "/s/timetable/first")
+    await asyncio.sleep(RECOVERY_S)
     results = await asyncio.gather(
         *(
             fetch(fleet, inst, "/s/timetable/busy", headers={"Tenant": f"club-{i % 5}"})
--- a/standins/src/flamingolift_standins/fleetcontrol.py
+++ b/standins/src/flamingolift_standins/fleetcontrol.py
@@ -1,7 +1,10 @@
 """Controls the store and the backend servers of a running fleet."""
 
+from flamingolift_cli.policyhead import POLICY_KEY
+
 __all__ = [
     "backend_reports",
+    "policy_written_at",
     "publish_live",
     "reset_backends",
     "set_backend",
@@ -70,3 +73,9 @@
     for port in sorted(set(fleet.admin_ports.values())):
         async with fleet.session.put(f"http://127.0.0.1:{port}/reset") as resp:
             resp.raise_for_status()
+
+
+async def policy_written_at(fleet):
+    """Returns the time at which the store took the last policy (s, monotonic)."""
+    async with fleet.session.get(f"{fleet.store_url}/admin/stats") as resp:
+        return (await resp.json())["written_at"][POLICY_KEY]
--- a/standins/src/flamingolift_standins/store.py
+++ b/standins/src/flamingolift_standins/store.py
@@ -21,14 +21,16 @@
         revision: Revision of its last write.
         body: Value (bytes).
         lease_id: Lease with which it expires, or None.
+        written_at: Time of its last write (s, monotonic clock of the machine).
     """
 
-    __slots__ = ("body", "lease_id", "revision")
+    __slots__ = ("body", "lease_id", "revision", "written_at")
 
     def __init__(self, revision, body, lease_id):
         self.revision = revision
         self.body = body
         self.lease_id = lease_id
+        self.written_at = time.monotonic()
 
 
 class StoreState:
@@ -182,7 +184,14 @@
         return web.Response()
 
     async def stats(request):
-        return web.json_response({"calls": state.calls, "revision": state.revision})
+        written_at = {key: entry.written_at for key, entry in state.entries.items()}
+        return web.json_response(
+            {
+                "calls": state.calls,
+                "revision": state.revision,
+                "written_at": written_at,
+            }
+        )
 
     async def run_expiry(app):
         async def expire_leases():
