--- a/packages/decisions/src/flamingolift_decisions/affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/affinity.py
@@ -1,13 +1,13 @@
 """Choice of the backend server for a request, with affinity by object.
 
-Every instance sends the requests for one object to the same few servers, whose
-caches hold it from earlier requests. The load on each server stays bounded: when
-the first servers of the object's rendezvous order are busy, a request goes to a
-later one.
+The instances of a region send the requests for one object to the same few servers,
+whose caches hold it from earlier requests, and which are more often in their own
+region. The load on each server stays bounded: when the first servers of the object's
+rendezvous order are busy, a request goes to a later one.
 """
 
 from flamingolift_decisions.backends import eligible_backends, is_withheld
-from flamingolift_decisions.hashing import unit_hash
+from flamingolift_decisions.hashing import weighted_order
 from flamingolift_decisions.loads import estimate_load, mean_load
 from flamingolift_decisions.serverlimits import is_limited
 
@@ -44,6 +44,9 @@
 """Requests that may queue at a server for each of its slots (ratio). A queued request
 then waits for the work of about one other request, which the latency objectives
 of requests for cached objects still allow."""
+OWN_REGION_WEIGHT = 2.0
+"""Weight of a server of the own region in an object's order, that of another region's
+server being 1 (ratio). An object is mostly asked for in one region."""
 MAX_CACHED_ORDERS = 4096
 """Number of orders above which the cache is cleared."""
 
@@ -63,14 +66,18 @@
         self.orders = {}
 
 
-def rank_backends(cache, view, service, object_key):
-    """Ranks a service's servers for an object by rendezvous hashing.
+def rank_backends(cache, view, service, object_key, region):
+    """Ranks a service's servers for an object by weighted rendezvous hashing.
+
+    The servers of the own region come first for most objects, for fewer the fewer
+    there are: a region with few servers leaves more objects to the others.
 
     Args:
         cache: AffinityCache.
         view: BackendView.
         service: Service name.
         object_key: Name of the object.
+        region: Region of this instance, the same at each call with a cache.
 
     Returns:
         Map of server id to its place in the order, the preferred one first.
@@ -85,8 +92,11 @@
         cache.generation = view.generation
     order = cache.orders.get((service, object_key))
     if order is None:
-        names = (b.entry.server_id for b in view.by_service.get(service, ()))
-        ranked = sorted(names, key=lambda name: -unit_hash(object_key, name))
+        weights = {
+            b.entry.server_id: OWN_REGION_WEIGHT if b.entry.region == region else 1.0
+            for b in view.by_service.get(service, ())
+        }
+        ranked = weighted_order(object_key, weights)
         order = {name: place for place, name in enumerate(ranked)}
         cache.orders[service, object_key] = order
     return order
@@ -214,11 +224,11 @@
         after its cause is gone.
     """
     if object_key:
-        order = rank_backends(cache, view, service, object_key)
+        order = rank_backends(cache, view, service, object_key, region)
         is_busy = mean_load(view, service, now) >= BUSY_LOAD
         limit = MAX_SERVERS_WHEN_BUSY if is_busy else None
     else:
-        order = rank_backends(cache, view, service, request_id)
+        order = rank_backends(cache, view, service, request_id, region)
         limit = None
     for candidates in eligible_backends(view, service, route, now):
         untried = [
--- a/packages/decisions/src/flamingolift_decisions/explanations.py
+++ b/packages/decisions/src/flamingolift_decisions/explanations.py
@@ -12,7 +12,9 @@
 """Largest number of an object's servers that an explanation names."""
 
 
-def explain_routing(table, view, cache, paths, host, path, object_key, now, holds=()):
+def explain_routing(
+    table, view, cache, paths, region, host, path, object_key, now, holds=()
+):
     """Explains how the policy and its exceptions route a request.
 
     Args:
@@ -20,6 +22,7 @@
         view: BackendView.
         cache: AffinityCache.
         paths: ServerPaths.
+        region: Region of this instance.
         host: Host of the request.
         path: Path of the request.
         object_key: Name of the object; empty for none.
@@ -53,7 +56,9 @@
             f" {max(0.0, hold.until - now):.0f} s: {hold.reason}."
         )
     for part in route.services:
-        sentences += _explain_servers(view, cache, part.service, route, object_key, now)
+        sentences += _explain_servers(
+            view, cache, part.service, route, object_key, region, now
+        )
         if is_cut_off(paths, part.service):
             cut_off_s = now - paths.cut_off_at[part.service]
             sentences.append(
@@ -63,13 +68,13 @@
     return sentences
 
 
-def _explain_servers(view, cache, service, route, object_key, now):
+def _explain_servers(view, cache, service, route, object_key, region, now):
     warm, cold = eligible_backends(view, service, route, now)
     known = view.by_service.get(service, ())
     usable = {b.entry.server_id for b in [*warm, *cold]}
     sentences = [f"{service} has {len(known)} servers, {len(warm)} of them in use."]
     if object_key and known:
-        order = rank_backends(cache, view, service, object_key)
+        order = rank_backends(cache, view, service, object_key, region)
         named = sorted(known, key=lambda b: order[b.entry.server_id])[:MAX_SERVERS]
         described = [
             f"{b.entry.server_id} ({_condition(view, b, usable, now)})" for b in named
--- a/packages/decisions/src/flamingolift_decisions/tests/test_affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_affinity.py
@@ -52,9 +52,9 @@
 def test_order_of_the_other_servers_is_kept_when_one_leaves(count, leaver, key):
     view = make_view(count)
     cache = affinity.AffinityCache()
-    before = affinity.rank_backends(cache, view, "maps", key)
+    before = affinity.rank_backends(cache, view, "maps", key, "r0")
     backends.remove_entry(view, f"s{leaver}")
-    after = affinity.rank_backends(cache, view, "maps", key)
+    after = affinity.rank_backends(cache, view, "maps", key, "r0")
     expected = [name for name in sorted(before, key=before.get) if name in after]
     assert sorted(after, key=after.get) == expected
 
@@ -70,6 +70,31 @@
     assert max(firsts.values()) < 140
 
 
+# Pattern: objects that are asked for in one region, whose servers are too few for them.
+def test_share_of_the_own_region_follows_its_servers():
+    """A region keeps more than its part of the servers, and less than all it has."""
+    view = backends.BackendView()
+    regions = ["few"] * 2 + ["some"] * 6 + ["many"] * 8
+    for number, region in enumerate(regions):
+        entry = make_entry(number, region=region, failure_domain=region)
+        backends.apply_entry(view, entry, 0.0)
+    load, kept = collections.Counter(), collections.Counter()
+    for region in ("few", "some", "many"):
+        cache = affinity.AffinityCache()
+        for number in range(1000):
+            order = affinity.rank_backends(
+                cache, view, "maps", f"{region}-{number}", region
+            )
+            entry = view.backends[min(order, key=order.get)].entry
+            load[entry.server_id] += 1
+            kept[region] += entry.region == region
+    # Part of the servers, doubled: 2 * 2 / 18, 2 * 6 / 22, 2 * 8 / 24.
+    assert 180 < kept["few"] < 270
+    assert 490 < kept["some"] < 600
+    assert 610 < kept["many"] < 725
+    assert max(load.values()) < 1.35 * 3000 / 16
+
+
 def test_object_uses_few_servers_while_they_have_room():
     view = make_view(16)
     seen = set()
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -69,6 +69,7 @@
         view.backends,
         front.affinity_cache,
         front.paths,
+        front.cfg.region,
         query.get("host", ""),
         query.get("path", "/"),
         query.get("object", ""),
--- a/standins/src/flamingolift_standins/fleetsimulation.py
+++ b/standins/src/flamingolift_standins/fleetsimulation.py
@@ -8,6 +8,7 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 
 from flamingolift_decisions import admission, affinity, backends, loads
@@ -35,6 +36,8 @@
 """Time after its sending at which a server gives up a request (s)."""
 RETRY_DELAY_S = 0.4
 """Mean time after which a refused or failed caller retries once (s)."""
+WAVE_S = 36.0
+"""Period of the wave of the regions' rates (s)."""
 CROSS_REGION_DELAY_S = 0.02
 """One-way network delay between regions (s)."""
 IN_REGION_DELAY_S = 0.001
@@ -57,6 +60,8 @@
             processing time).
         restarts: Times at which all instances restart without state (s).
         hot_share: Share of the requests that are for one object (ratio).
+        swing: Amplitude of a wave of the regions' rates, each with another phase
+            (ratio).
     """
 
     __slots__ = (
@@ -71,6 +76,7 @@
         "servers",
         "slots",
         "slow",
+        "swing",
     )
 
     def __init__(
@@ -86,6 +92,7 @@
         slow=(),
         restarts=(),
         hot_share=0.0,
+        swing=0.0,
     ):
         self.rate = rate
         self.seconds = seconds
@@ -98,6 +105,7 @@
         self.slow = slow
         self.restarts = restarts
         self.hot_share = hot_share
+        self.swing = swing
 
 
 class SimulatedServer:
@@ -294,13 +302,21 @@
     next_arrival_at = now + sim.rng.expovariate(rate)
     if next_arrival_at < load.seconds:
         _schedule(sim, next_arrival_at, _arrive)
-    region = sim.rng.randrange(load.regions)
+    region = sim.rng.choices(range(load.regions), _region_weights(load, now))[0]
     number = int(sim.rng.random() ** 1.25 * load.objects)
     if sim.rng.random() < load.hot_share:
         region, number = 0, 0
     _reach_instance(sim, now, SimulatedRequest(f"r{region}-{number}", now))
 
 
+def _region_weights(load, now):
+    """Returns the rate of each region, relative to their mean."""
+    return [
+        1.0 + load.swing * math.sin(math.tau * (now / WAVE_S + region / load.regions))
+        for region in range(load.regions)
+    ]
+
+
 def _reach_instance(sim, now, req):
     """Handles the arrival of a request at an instance of its region."""
     region = req.key.partition("-")[0]
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -130,8 +130,8 @@
         [
             (
                 f"{DECISIONS}/affinity.py",
-                "order = rank_backends(cache, view, service, object_key)",
-                "order = rank_backends(cache, view, service, request_id)",
+                "order = rank_backends(cache, view, service, object_key, region)",
+                "order = rank_backends(cache, view, service, request_id, region)",
             )
         ],
         f"{PATH}::test_requests_for_an_object_keep_their_server",
