--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -48,6 +48,9 @@
 """Remaining time below which no retry is started (s)."""
 MAX_CONNECT_FAILURES = 3
 """Failed connection attempts after which a request tries no further server."""
+MAX_MISDIRECTED = 3
+"""Addresses used again by other servers after which a request tries no further
+server. Each is suspended, so that later requests do not meet it."""
 MAX_WITHHELD = 4
 """Refused grants after which a request tries no further server that names a limit."""
 RETRIED_STATUSES = frozenset((500, 502, 503))
@@ -182,10 +185,13 @@
             front, req, route, trace, backend, rank, deadline
         )
         if outcome in (Outcome.UNREACHED, Outcome.NOT_SENT):
-            if trace.attempts:
+            if _is_repeat(trace):
                 windowbudget.cancel_retry(retry_budget_for(front, trace.service))
             trace.unreached += 1
             continue
+        if outcome is Outcome.WRONG_SERVER:
+            trace.misdirected += 1
+            continue
         trace.attempts += 1
         if outcome is Outcome.LOST:
             await heldattempts.note_lost(front, req, trace, entry)
@@ -223,10 +229,17 @@
     if trace.shed and len(trace.withheld) >= MAX_WITHHELD:
         return False
     return (
-        trace.attempts < route.max_attempts and trace.unreached < MAX_CONNECT_FAILURES
+        trace.attempts < route.max_attempts
+        and trace.unreached < MAX_CONNECT_FAILURES
+        and trace.misdirected < MAX_MISDIRECTED
     )
 
 
+def _is_repeat(trace):
+    """Returns whether a server has received the request before, its own or another."""
+    return bool(trace.attempts or trace.misdirected)
+
+
 def _usable_servers(front, route, trace):
     """Returns the function of a Backend that tells whether a request may use it."""
     if not may_connect(front, trace.service):
@@ -266,7 +279,7 @@
     """Returns whether the deadline and the retry budget allow another send."""
     if deadline - now < MIN_ATTEMPT_S:
         return False
-    if trace.attempts == 0:
+    if not _is_repeat(trace):
         return True
     budget = retry_budget_for(front, trace.service)
     return windowbudget.allow_retry(budget, front.view.backends.instances, now)
@@ -292,6 +305,9 @@
     if trace.unreached >= MAX_CONNECT_FAILURES:
         detail = "no server accepted a connection"
         return retryable_fault(front, ResultCode.NO_BACKEND, detail)
+    if trace.misdirected >= MAX_MISDIRECTED:
+        detail = "other servers answered at the addresses of the service"
+        return retryable_fault(front, ResultCode.NO_BACKEND, detail)
     if trace.shed:
         return _overload_fault(front, trace, "load shedding", now)
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
@@ -325,7 +341,7 @@
     send = SendRecord(server_id, rank, load, backend.entry.started_ms)
     trace.tried.add(server_id)
     backends.record_send(front.view.backends, backend, started)
-    if trace.attempts:
+    if _is_repeat(trace):
         windowbudget.record_retry(retry_budget_for(front, trace.service), started)
     if not trace.sends:
         front.metrics.first_sends.labels(trace.service, rank == 0).inc()
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -48,7 +48,8 @@
         route: Route name; empty when none matched.
         service: Service name.
         policy: Version of the routing policy that decided.
-        attempts: Number of sends that reached a server.
+        attempts: Number of sends that reached a server of the service.
+        misdirected: Number of sends that reached another server than expected.
         sends: List of the SendRecord objects that ended.
         tried: Set of the server ids that were tried.
         shed: Whether load shedding keeps it away from servers that name no limit.
@@ -68,6 +69,7 @@
         "early",
         "handed_to",
         "is_trial",
+        "misdirected",
         "policy",
         "route",
         "sends",
@@ -88,6 +90,7 @@
         self.tried = set()
         self.shed = False
         self.unreached = 0
+        self.misdirected = 0
         self.handed_to = ""
         self.is_trial = False
         self.withheld = []
