--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -28,7 +28,7 @@
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.refusals import quiet_fault, retryable_fault
-from flamingolift_front.requesttrace import SendRecord, may_have_run
+from flamingolift_front.requesttrace import SendRecord, is_repeat, may_have_run
 from flamingolift_front.sending import (
     CONNECT_TIMEOUT_S,
     UNKNOWN_OUTCOMES,
@@ -185,7 +185,7 @@
             front, req, route, trace, backend, rank, deadline
         )
         if outcome in (Outcome.UNREACHED, Outcome.NOT_SENT):
-            if _is_repeat(trace):
+            if is_repeat(trace):
                 windowbudget.cancel_retry(retry_budget_for(front, trace.service))
             trace.unreached += 1
             continue
@@ -235,11 +235,6 @@
     )
 
 
-def _is_repeat(trace):
-    """Returns whether a server has received the request before, its own or another."""
-    return bool(trace.attempts or trace.misdirected)
-
-
 def _usable_servers(front, route, trace):
     """Returns the function of a Backend that tells whether a request may use it."""
     if not may_connect(front, trace.service):
@@ -279,7 +274,7 @@
     """Returns whether the deadline and the retry budget allow another send."""
     if deadline - now < MIN_ATTEMPT_S:
         return False
-    if not _is_repeat(trace):
+    if not is_repeat(trace):
         return True
     budget = retry_budget_for(front, trace.service)
     return windowbudget.allow_retry(budget, front.view.backends.instances, now)
@@ -341,7 +336,7 @@
     send = SendRecord(server_id, rank, load, backend.entry.started_ms)
     trace.tried.add(server_id)
     backends.record_send(front.view.backends, backend, started)
-    if _is_repeat(trace):
+    if is_repeat(trace):
         windowbudget.record_retry(retry_budget_for(front, trace.service), started)
     if not trace.sends:
         front.metrics.first_sends.labels(trace.service, rank == 0).inc()
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -15,7 +15,7 @@
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import may_connect
-from flamingolift_front.requesttrace import may_have_run
+from flamingolift_front.requesttrace import is_repeat, may_have_run
 from flamingolift_front.sending import (
     HANDED_ON,
     ForwardedResponse,
@@ -71,7 +71,7 @@
         return False
     budget = retry_budget_for(front, trace.service)
     instances = front.view.backends.instances
-    if trace.attempts and not windowbudget.allow_retry(budget, instances, now):
+    if is_repeat(trace) and not windowbudget.allow_retry(budget, instances, now):
         return False
     if not may_connect(front, trace.service):
         return True
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -2,7 +2,7 @@
 
 from flamingolift_front.sending import NOT_RUN_OUTCOMES, Outcome
 
-__all__ = ["SendRecord", "Trace", "may_have_run"]
+__all__ = ["SendRecord", "Trace", "is_repeat", "may_have_run"]
 
 
 class SendRecord:
@@ -107,3 +107,12 @@
     if trace.handed_to:
         return True
     return any(send.outcome not in NOT_RUN_OUTCOMES for send in trace.sends)
+
+
+def is_repeat(trace):
+    """Returns whether a server has received the request before, its own or another.
+
+    Args:
+        trace: Trace.
+    """
+    return bool(trace.attempts or trace.misdirected)
