--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -196,7 +196,9 @@
 
 async def _record_end(front, conn, cause):
     """Records requests, and bytes of them, that this instance leaves unanswered."""
-    by_caller = conn.stream.ended
+    # The caller also closes its side once an answer has announced the close.
+    is_announced = conn.closing and conn.req is None
+    by_caller = conn.stream.ended and not is_announced
     if conn.req is not None:
         end = "caller_left" if by_caller else "unanswered"
         front.metrics.request_ends.labels(end).inc()
