--- a/bench/overload.py
+++ b/bench/overload.py
@@ -28,6 +28,10 @@
     "slow-twelve": Workload(rate=80.0, slow=[(10.0, 18.0, 0.4, 12.0)]),
     "slow-four": Workload(slow=[(10.0, 16.0, 0.16, 4.3)]),
     "hot-object": Workload(rate=90.0, hot_share=0.35),
+    "waves": Workload(servers=16, swing=0.55),
+    "hundreds": Workload(
+        rate=700.0, servers=72, objects=144, instances=195, swing=0.55
+    ),
     "large": Workload(
         rate=400.0, servers=48, objects=72, instances=60, bursts=[(15.0, 20.0, 1.5)]
     ),
--- a/packages/front/src/flamingolift_front/readahead.py
+++ b/packages/front/src/flamingolift_front/readahead.py
@@ -112,16 +112,16 @@
                 if exchange.received.is_ok() and exchange.received.ok is None:
                     return
                 conn.ahead.append(exchange)
-                _start_early(front, exchange)
+                _start_early(front, conn, exchange)
                 conn.arrived.set()
     finally:
         conn.reader = None
         conn.arrived.set()
 
 
-def _start_early(front, exchange):
+def _start_early(front, conn, exchange):
     """Sends a request to a server before its turn, where that is allowed."""
-    if exchange.received.is_error():
+    if exchange.received.is_error() or conn.stream.ended:
         return
     req = exchange.received.ok
     exchange.size = len(req.body) + sum(len(n) + len(v) for n, v in req.headers)
--- a/packages/front/src/flamingolift_front/tests/test_pipelined_starts.py
+++ b/packages/front/src/flamingolift_front/tests/test_pipelined_starts.py
@@ -8,8 +8,10 @@
 import time
 
 import pytest
+from expression import Error, Ok
 from flamingolift_decisions import earlystarts
-from flamingolift_front import callers
+from flamingolift_front import callers, forwarding
+from flamingolift_model import Fault, ResultCode
 from pipelines import (
     BOOKING,
     open_caller,
@@ -185,6 +187,22 @@
         assert second[0] == 503
 
 
+async def test_held_request_in_the_middle_is_refused_in_its_place(monkeypatch):
+    async def check_hold(_front, req, _trace):
+        if req.request_id == "q2":
+            return Error(Fault(ResultCode.REQUEST_HELD, "held"))
+        return Ok(None)
+
+    monkeypatch.setattr(forwarding.heldattempts, "check_hold", check_hold)
+    async with pipeline_site() as (site, server), open_caller(site) as caller:
+        server.work_s = {"q1": 0.2}
+        caller.writer.write(request(1) + request(2) + request(3))
+        (first, second, third) = await read_answers(caller, 3)
+        assert (first, third) == ((200, b"q1"), (200, b"q3"))
+        assert second[0] == 503
+        assert sorted(started_ids(server)) == ["q1", "q3"]
+
+
 # Guards against deadlines that begin with the turn of a request.
 async def test_deadline_runs_from_the_arrival():
     async with pipeline_site() as (site, server), open_caller(site) as caller:
