--- a/tools/bite.py
+++ b/tools/bite.py
@@ -140,7 +140,7 @@
         [
             (
                 f"{FRONT}/callers.py",
-                "conn.stream.on_end = task.cancel",
+                "conn.stream.on_end = cancel",
                 "conn.stream.on_end = None",
             )
         ],
@@ -386,6 +386,61 @@
         ],
         "integration/test_crashing_requests.py::test_ends_of_servers_are_not_taken_for_an_own_cut",
     ),
+    "F31 start bookings before their turn": (
+        [
+            (
+                f"{DECISIONS}/earlystarts.py",
+                "return route is not None and route.idempotent and not stopping",
+                "return route is not None and not stopping",
+            )
+        ],
+        "integration/test_pipelines.py::test_look_ups_run_side_by_side_and_a_booking_at_its_turn",
+    ),
+    "F32 serve one request of a connection after the other": (
+        [
+            (
+                f"{DECISIONS}/earlystarts.py",
+                "return route is not None and route.idempotent and not stopping",
+                "return False",
+            )
+        ],
+        f"{FRONT}/tests/test_pipelined_starts.py::test_burst_of_safe_requests_is_served_side_by_side",
+    ),
+    "F33 leave requests at work behind a cut answer": (
+        [
+            (
+                f"{FRONT}/readahead.py",
+                "    exchange.task.cancel()\n    await",
+                "    await",
+            ),
+            (
+                f"{FRONT}/readahead.py",
+                "            exchange.task.cancel()",
+                "            pass",
+            ),
+        ],
+        f"{FRONT}/tests/test_pipelined_starts.py::test_requests_behind_a_cut_answer_end_with_the_connection",
+    ),
+    "F34 count a 421 as an attempt": (
+        [
+            (
+                f"{FRONT}/forwarding.py",
+                "            trace.misdirected += 1\n",
+                "            trace.misdirected += 1\n            trace.attempts += 1\n",
+            )
+        ],
+        f"{FRONT}/tests/test_reused_addresses.py::test_address_that_was_used_again_is_no_attempt",
+    ),
+    "F35 order servers without the region": (
+        [
+            (
+                f"{DECISIONS}/affinity.py",
+                "OWN_REGION_WEIGHT = 2.0",
+                "OWN_REGION_WEIGHT = 1.0",
+            )
+        ],
+        f"{DECISIONS}/tests/test_affinity.py::test_share_of_the_own_region_follows_its_servers",
+    ),
 }
 
 
