--- a/standins/src/flamingolift_standins/fleetsimulation.py
+++ b/standins/src/flamingolift_standins/fleetsimulation.py
@@ -17,29 +17,15 @@
 from flamingolift_model.plan import BackendEntry
 from flamingolift_model.routing import Route, WeightedService
 
-__all__ = ["FleetSimulation", "Tally", "Workload", "run_simulation"]
+__all__ = ["FleetSimulation", "Tally", "Workload", "run_prepared", "run_simulation"]
 
 SERVICE = "listings"
-COLD_WORK_S = 0.64
-"""Mean processing time of a request whose object the server does not hold (s)."""
 WARM_RATIO = 0.3
-"""Processing time for a held object, relative to `COLD_WORK_S` (ratio)."""
+"""Processing time for a held object, relative to one that is not held (ratio)."""
 WORK_SPREAD = 0.15
 """Half width of the uniform distribution of processing times (ratio)."""
-MAX_HELD_OBJECTS = 20
-"""Objects that a server holds; it evicts the least recently used."""
-QUEUE_LIMIT = 9
-"""Requests that wait at a server; it rejects more."""
-OBJECTIVE_S = 0.4
-"""Latency objective (s)."""
-TIMEOUT_S = 1.2
-"""Time after its sending at which a server gives up a request (s)."""
-RETRY_DELAY_S = 0.4
-"""Mean time after which a refused or failed caller retries once (s)."""
 WAVE_S = 36.0
 """Period of the wave of the regions' rates (s)."""
-CROSS_REGION_DELAY_S = 0.02
-"""One-way network delay between regions (s)."""
 IN_REGION_DELAY_S = 0.001
 """One-way network delay within a region (s)."""
 
@@ -62,21 +48,35 @@
         hot_share: Share of the requests that are for one object (ratio).
         swing: Amplitude of a wave of the regions' rates, each with another phase
             (ratio).
+        work_s: Mean processing time of a request whose object is not held (s).
+        held: Objects that a server holds; it evicts the least recently used.
+        queue: Requests that wait at a server; it rejects more.
+        objective_s: Latency objective (s).
+        timeout_s: Time after its sending at which a server gives up a request (s).
+        retry_s: Mean time after which a refused or failed caller retries once (s).
+        far_s: One-way network delay between regions (s).
     """
 
     __slots__ = (
         "bursts",
+        "far_s",
+        "held",
         "hot_share",
         "instances",
+        "objective_s",
         "objects",
+        "queue",
         "rate",
         "regions",
         "restarts",
+        "retry_s",
         "seconds",
         "servers",
         "slots",
         "slow",
         "swing",
+        "timeout_s",
+        "work_s",
     )
 
     def __init__(
@@ -93,6 +93,13 @@
         restarts=(),
         hot_share=0.0,
         swing=0.0,
+        work_s=0.64,
+        held=20,
+        queue=9,
+        objective_s=0.4,
+        timeout_s=1.2,
+        retry_s=0.4,
+        far_s=0.02,
     ):
         self.rate = rate
         self.seconds = seconds
@@ -106,6 +113,13 @@
         self.restarts = restarts
         self.hot_share = hot_share
         self.swing = swing
+        self.work_s = work_s
+        self.held = held
+        self.queue = queue
+        self.objective_s = objective_s
+        self.timeout_s = timeout_s
+        self.retry_s = retry_s
+        self.far_s = far_s
 
 
 class SimulatedServer:
@@ -182,12 +196,15 @@
         lost: Requests begun then that were refused or failed, the retry too.
         warm: Sends started then by a server that held the object.
         sends: Sends that a server started to run then.
+        far: Sends begun then to a server of another region.
+        to_server: Map of server id to the sends begun then to it.
     """
 
-    __slots__ = ("in_time", "late", "lost", "sends", "warm")
+    __slots__ = ("far", "in_time", "late", "lost", "sends", "to_server", "warm")
 
     def __init__(self):
-        self.in_time = self.late = self.lost = self.sends = self.warm = 0
+        self.in_time = self.late = self.lost = self.sends = self.warm = self.far = 0
+        self.to_server = collections.Counter()
 
 
 class FleetSimulation:
@@ -228,7 +245,7 @@
             prefix="/",
             services=[WeightedService(service=SERVICE, weight=1.0)],
             idempotent=True,
-            timeout_ms=TIMEOUT_S * 1000.0,
+            timeout_ms=load.timeout_s * 1000.0,
         )
         self.instances = []
         _restart_instances(self, 0.0)
@@ -244,7 +261,16 @@
     Returns:
         Map of second to its Tally.
     """
-    sim = FleetSimulation(load, seed)
+    return run_prepared(FleetSimulation(load, seed))
+
+
+def run_prepared(sim):
+    """Runs a simulation; returns the same as `run_simulation`.
+
+    Args:
+        sim: FleetSimulation that has not run.
+    """
+    load = sim.load
     _schedule(sim, 0.0, _arrive)
     for start, end, share, factor in load.slow:
         count = max(1, round(share * load.servers))
@@ -349,14 +375,17 @@
     req.backend, req.sent_at = backend, now
     req.tried.add(backend.entry.server_id)
     backends.record_send(instance.view, backend, now)
-    _schedule(sim, now + _one_way_delay_s(req), _reach_server, req)
+    tally = sim.tallies[int(now)]
+    tally.far += backend.entry.region != instance.region
+    tally.to_server[backend.entry.server_id] += 1
+    _schedule(sim, now + _one_way_delay_s(sim, req), _reach_server, req)
 
 
-def _one_way_delay_s(req):
+def _one_way_delay_s(sim, req):
     return (
         IN_REGION_DELAY_S
         if req.backend.entry.region == req.instance.region
-        else CROSS_REGION_DELAY_S
+        else sim.load.far_s
     )
 
 
@@ -364,17 +393,17 @@
     server = sim.servers[req.backend.entry.server_id]
     if server.running < sim.load.slots:
         _start_work(sim, now, server, req)
-    elif len(server.queue) < QUEUE_LIMIT:
+    elif len(server.queue) < sim.load.queue:
         server.queue.append(req)
     else:
         _schedule(
             sim,
-            now + _one_way_delay_s(req),
+            now + _one_way_delay_s(sim, req),
             _handle_outcome,
             req,
             "full",
             sim.load.slots,
-            QUEUE_LIMIT,
+            sim.load.queue,
         )
 
 
@@ -383,14 +412,14 @@
     held = req.key in server.held
     server.held[req.key] = True
     server.held.move_to_end(req.key)
-    if len(server.held) > MAX_HELD_OBJECTS:
+    if len(server.held) > sim.load.held:
         server.held.popitem(last=False)
     tally = sim.tallies[int(now)]
     tally.sends += 1
     tally.warm += held
-    work = COLD_WORK_S * (WARM_RATIO if held else 1.0) * server.slowdown
+    work = sim.load.work_s * (WARM_RATIO if held else 1.0) * server.slowdown
     work *= sim.rng.uniform(1.0 - WORK_SPREAD, 1.0 + WORK_SPREAD)
-    ends_at = req.sent_at + TIMEOUT_S
+    ends_at = req.sent_at + sim.load.timeout_s
     if now + work > ends_at:
         _schedule(sim, max(now, ends_at), _finish_work, server, req, "late")
     else:
@@ -399,14 +428,16 @@
 
 def _finish_work(sim, now, server, req, outcome):
     load = (server.running - 1, len(server.queue))
-    _schedule(sim, now + _one_way_delay_s(req), _handle_outcome, req, outcome, *load)
+    _schedule(
+        sim, now + _one_way_delay_s(sim, req), _handle_outcome, req, outcome, *load
+    )
     server.running -= 1
     while server.queue and server.running < sim.load.slots:
         waiting = server.queue.popleft()
-        if now > waiting.sent_at + TIMEOUT_S:
+        if now > waiting.sent_at + sim.load.timeout_s:
             _schedule(
                 sim,
-                now + _one_way_delay_s(waiting),
+                now + _one_way_delay_s(sim, waiting),
                 _handle_outcome,
                 waiting,
                 "late",
@@ -424,7 +455,7 @@
     if outcome == "answered":
         backends.record_answer(backend)
         tally = sim.tallies[int(req.asked_at)]
-        if now - req.asked_at <= OBJECTIVE_S:
+        if now - req.asked_at <= sim.load.objective_s:
             tally.in_time += 1
         else:
             tally.late += 1
@@ -438,7 +469,10 @@
     """Schedules a caller's retry after its first attempt, else counts it lost."""
     if req.attempts < 2:
         _schedule(
-            sim, now + sim.rng.uniform(0.5, 1.5) * RETRY_DELAY_S, _reach_instance, req
+            sim,
+            now + sim.rng.uniform(0.5, 1.5) * sim.load.retry_s,
+            _reach_instance,
+            req,
         )
     else:
         sim.tallies[int(req.asked_at)].lost += 1
