--- a/packages/front/src/flamingolift_front/tests/test_pipelined_starts.py
+++ b/packages/front/src/flamingolift_front/tests/test_pipelined_starts.py
@@ -10,7 +10,7 @@
 import pytest
 from expression import Error, Ok
 from flamingolift_decisions import earlystarts
-from flamingolift_front import callers, forwarding
+from flamingolift_front import answering, callers, forwarding
 from flamingolift_model import Fault, ResultCode
 from pipelines import (
     BOOKING,
@@ -321,7 +321,9 @@
 async def test_log_tells_the_wait_for_earlier_answers(monkeypatch):
     lines = []
     monkeypatch.setattr(
-        callers, "log_event", lambda _log, name, **fields: lines.append((name, fields))
+        answering,
+        "log_event",
+        lambda _log, name, **fields: lines.append((name, fields)),
     )
     async with pipeline_site() as (site, server), open_caller(site) as caller:
         server.work_s = {"q1": 0.2}
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -139,7 +139,7 @@
     "F5 continue when the caller has left": (
         [
             (
-                f"{FRONT}/callers.py",
+                f"{FRONT}/answering.py",
                 "conn.stream.on_end = cancel",
                 "conn.stream.on_end = None",
             )
