Take the input behind a refused request once, and name a flag apart from the module

Found on reading the diff: the rest of a refused request was taken for 2 s twice when its caller stayed, and a local variable hid the module of the same name.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -18,7 +18,7 @@
 __all__ = ["CallerConnection", "accept_caller", "close_idle", "end_requests"]
 
 LINGER_S = 2.0
-"""Longest time for which the rest of a refused request is taken (s)."""
+"""Longest time for which unread input is taken before a close (s)."""
 
 
 class CallerConnection:
@@ -40,6 +40,7 @@
         req: CallerRequest that is being answered, or None.
         trace: Trace of that request.
         responding: Whether bytes of the answer to it were sent.
+        refused: Whether a request that could not be read was refused.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "parser",
         "reader",
         "reading",
+        "refused",
         "req",
         "responding",
         "stream",
@@ -74,6 +76,7 @@
         self.req = None
         self.trace = None
         self.responding = False
+        self.refused = False
 
 
 def accept_caller(front, stream, from_instance=False):
@@ -106,8 +109,8 @@
     An answer that waits in the send buffer as a whole is left to be sent.
     """
     for conn in list(front.connections):
-        answering = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        if conn.req is not None and answering:
+        is_unanswered = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if conn.req is not None and is_unanswered:
             conn.task.cancel()
 
 
@@ -227,7 +230,7 @@
     received, conn.parser = exchange.received, exchange.parser
     if received.is_error():
         await answering.send_response(front, conn, problem_response(received.error))
-        await _discard_input(conn.stream)
+        conn.refused = True
         return False
     if received.ok is None:
         return False
@@ -241,23 +244,20 @@
 
 
 async def _drain_input(conn):
-    """Takes what stands behind the last answer, so that the close resets nothing."""
-    readahead.cancel_started(conn)
-    await readahead.stop_reading(conn)
-    if conn.ahead or conn.stream.buffer or conn.reading.trailing_data[0]:
-        await _discard_input(conn.stream)
-
-
-async def _discard_input(stream):
-    """Takes the rest of a refused request, for a time.
+    """Takes what the caller still sends behind the last answer, for a time.
 
     Closing a socket that has unread bytes resets the connection, and a caller that is
-    still sending would not read its refusal.
+    still sending would not read its last answer.
     """
-    bytestream.write_eof(stream)
+    readahead.cancel_started(conn)
+    await readahead.stop_reading(conn)
+    unread = conn.ahead or conn.stream.buffer or conn.reading.trailing_data[0]
+    if not (unread or conn.refused):
+        return
+    bytestream.write_eof(conn.stream)
     ends_at = time.monotonic() + LINGER_S
     with contextlib.suppress(TimeoutError, ConnectionError):
-        while await bytestream.read_before(stream, ends_at):
+        while await bytestream.read_before(conn.stream, ends_at):
             if time.monotonic() >= ends_at:
                 break
 
