--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -23,8 +23,10 @@
             the result code.
         requests_read: Counter of the callers' requests that were read whole.
         request_ends: Counter of their ends: answered by a server, refused by this
-            instance, caller_left, or unanswered when this instance closed the
-            connection. What is missing to `requests_read` is in progress.
+            instance, caller_left, unanswered when this instance closed the
+            connection, or unread when it had been sent to a server before its turn and
+            the connection closed first. What is missing to `requests_read` is in
+            progress.
         latency: Histogram of the response time by service (s).
         sends: Counter of sends to backend servers by service and outcome.
         first_sends: Counter of first sends by service and whether the server is the
