--- a/packages/front/src/flamingolift_front/tests/pipelines.py
+++ b/packages/front/src/flamingolift_front/tests/pipelines.py
@@ -2,22 +2,19 @@
 
 import asyncio
 import contextlib
-import time
 
 from flamingolift_decisions import backends
-from flamingolift_model.plan import BackendEntry
 from flamingolift_model.routing import Route, WeightedService
-from test_unanswered_requests import Caller, read_answer
-from troubledserver import FAILED, run_site
+from test_unanswered_requests import read_answer
+from troubledserver import FAILED, add_entry, run_site, stop_server
 
 __all__ = [
     "BOOKING",
     "WorkServer",
-    "add_work_server",
-    "open_caller",
     "pipeline_site",
     "read_answers",
     "request",
+    "start_work_server",
     "wait_until",
 ]
 
@@ -36,13 +33,12 @@
         answers: Map of request id to the body of its answer; an id by default.
         refused: Set of the ids that it refuses as not run.
         cut: Set of the ids whose answer breaks off in the middle.
-        started: List of (request id, time of its start (s, monotonic)).
+        started: List of the ids whose work has started.
         course: List of (request id, "start" or "end"), in the order of time.
         finished: List of the ids of which the work was done.
         cancelled: List of the ids whose connection was closed during the work.
         peak: Largest number of requests that it ran side by side.
         bodies: Map of request id to the body of the request.
-        port: TCP port.
         server: asyncio server.
         tasks: Set of the tasks that serve a connection.
     """
@@ -56,7 +52,6 @@
         "default_work_s",
         "finished",
         "peak",
-        "port",
         "refused",
         "server",
         "started",
@@ -76,15 +71,10 @@
         self.cancelled = []
         self.bodies = {}
         self.peak = 0
-        self.port = 0
         self.server = None
         self.tasks = set()
 
 
-def started_ids(server):
-    return [request_id for request_id, _at in server.started]
-
-
 async def _serve(server, reader, writer):
     server.tasks.add(asyncio.current_task())
     try:
@@ -103,7 +93,7 @@
     request_id = fields["request-id"]
     body = await reader.readexactly(int(fields.get("content-length", 0)))
     server.bodies[request_id] = body
-    server.started.append((request_id, time.monotonic()))
+    server.started.append(request_id)
     server.course.append((request_id, "start"))
     over = len(server.finished) + len(server.cancelled)
     server.peak = max(server.peak, len(server.started) - over)
@@ -136,35 +126,17 @@
     await writer.drain()
 
 
-async def add_work_server(site, server_id, service):
-    """Starts a server for a service of a site's front."""
+async def start_work_server(site):
+    """Starts a server of the routes of a site's front."""
     server = WorkServer()
     server.server = await asyncio.start_server(
         lambda reader, writer: _serve(server, reader, writer), "127.0.0.1", 0
     )
-    server.port = server.server.sockets[0].getsockname()[1]
-    cfg = site.front.cfg
-    entry = BackendEntry(
-        server_id=server_id,
-        service=service,
-        region=cfg.region,
-        failure_domain=cfg.failure_domain,
-        host="127.0.0.1",
-        port=server.port,
-        slots=1000,
-    )
-    backends.apply_entry(site.front.view.backends, entry, 0.0)
+    port = server.server.sockets[0].getsockname()[1]
+    add_entry(site.front, "work", port, site.front.cfg.region, slots=1000)
     return server
 
 
-async def _stop(server):
-    server.server.close()
-    tasks = list(server.tasks)
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
 @contextlib.asynccontextmanager
 async def pipeline_site(timeout_s=20.0):
     """Runs a front with a route of safe requests and one of bookings.
@@ -186,15 +158,11 @@
             timeout_ms=timeout_s * 1000.0,
             max_attempts=3,
         )
-        server = await add_work_server(site, "work", "maps")
+        server = await start_work_server(site)
         try:
             yield site, server
         finally:
-            for conn in list(site.front.connections):
-                conn.task.cancel()
-            tasks = [conn.task for conn in site.front.connections]
-            await asyncio.gather(*tasks, return_exceptions=True)
-            await _stop(server)
+            await stop_server(server)
 
 
 def request(number, path="/a", body=b"", fields="", method=None, deadline_ms=9000):
@@ -208,15 +176,6 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def open_caller(site):
-    caller = Caller(*await asyncio.open_connection("127.0.0.1", site.port))
-    try:
-        yield caller
-    finally:
-        caller.writer.transport.abort()
-
-
 async def read_answers(caller, count):
     """Returns the statuses and bodies of the next answers."""
     return [await read_answer(caller) for _ in range(count)]
--- a/packages/front/src/flamingolift_front/tests/test_pipelines_machine.py
+++ b/packages/front/src/flamingolift_front/tests/test_pipelines_machine.py
@@ -21,12 +21,11 @@
 )
 from pipelines import (
     BOOKING,
-    open_caller,
     pipeline_site,
     request,
-    started_ids,
     wait_until,
 )
+from test_unanswered_requests import connect
 
 WORKS_S = (0.0, 0.01, 0.03, 0.8)
 LARGE_ANSWER = bytes(3 << 20)
@@ -84,7 +83,7 @@
 
     async def _open(self):
         self.site, self.server = await self.exits.enter_async_context(pipeline_site())
-        self.caller = await self.exits.enter_async_context(open_caller(self.site))
+        self.caller = await self.exits.enter_async_context(connect(self.site))
         await wait_until(lambda: self.site.front.connections)
 
     def teardown(self):
@@ -187,7 +186,7 @@
         await asyncio.sleep(0.02)
         assert self._is_quiet()
         assert self.server.peak <= MAX_AT_SERVERS
-        assert len(set(started_ids(self.server))) == len(self.server.started)
+        assert len(set(self.server.started)) == len(self.server.started)
         self._check_bookings()
         if not self.ended:
             self._check_answers()
@@ -232,7 +231,7 @@
             if status == 503:
                 # The only server is not used for a moment after it has refused one.
                 assert self.server.refused
-                assert sent.status == 503 or name not in started_ids(self.server)
+                assert sent.status == 503 or name not in self.server.started
             else:
                 assert (status, body) == (sent.status, sent.body)
         unanswered = self.sent[len(answered) :]
@@ -244,7 +243,7 @@
             assert self.site.front.stopping or is_cut
             # A stop lets what has started end; a cut answer ends its connection.
             if sent.is_booking or not is_cut:
-                assert f"q{sent.number}" not in started_ids(self.server)
+                assert f"q{sent.number}" not in self.server.started
 
 
 def split_answers(data):
--- a/packages/front/src/flamingolift_front/tests/test_reused_addresses.py
+++ b/packages/front/src/flamingolift_front/tests/test_reused_addresses.py
@@ -7,11 +7,17 @@
 import contextlib
 
 import pytest
-from flamingolift_decisions import backends
 from flamingolift_front import forwarding
-from flamingolift_model.plan import BackendEntry
 from test_unanswered_requests import connect, read_answer, send
-from troubledserver import SOUND_BODY, head, run_site, sound, start_server
+from troubledserver import (
+    SOUND_BODY,
+    add_entry,
+    head,
+    run_site,
+    sound,
+    start_server,
+    stop_server,
+)
 
 
 def other_server(request_id):
@@ -29,21 +35,12 @@
     """
     async with run_site(other_server, with_sound=False, keep_open=True) as site:
         servers = [site.failed]
-        view = site.front.view.backends
         for number in range(1, reused + 1):
             script = sound if number == reused else other_server
             servers.append(await start_server(script, keep_open=True))
-            entry = BackendEntry(
-                server_id=f"reused-{number}",
-                service="maps",
-                # The sound one is the last to be tried.
-                region="other" if script is sound else site.front.cfg.region,
-                failure_domain="d0",
-                host="127.0.0.1",
-                port=servers[-1].port,
-                slots=3,
-            )
-            backends.apply_entry(view, entry, 0.0)
+            # The sound one is the last to be tried.
+            region = "other" if script is sound else site.front.cfg.region
+            add_entry(site.front, f"reused-{number}", servers[-1].port, region)
         for route in site.front.view.table.routes.values():
             route.max_attempts = max_attempts
             route.bulk = True
@@ -51,9 +48,7 @@
             yield site, servers[:-1]
         finally:
             for server in servers[1:]:
-                server.server.close()
-                for task in list(server.tasks):
-                    task.cancel()
+                await stop_server(server)
 
 
 # Guards against a refusal by an instance that knows a free server: two attempts met two
--- a/packages/front/src/flamingolift_front/tests/troubledserver.py
+++ b/packages/front/src/flamingolift_front/tests/troubledserver.py
@@ -135,7 +135,8 @@
     return state
 
 
-async def _stop_server(state):
+async def stop_server(state):
+    """Stops a server that has an asyncio `server` and a set of `tasks`."""
     state.server.close()
     tasks = list(state.tasks)
     for task in tasks:
@@ -163,6 +164,20 @@
 CHUNKED = b"transfer-encoding: chunked"
 
 
+def add_entry(front, server_id, port, region, slots=3):
+    """Makes a server of the service "maps" known to a front."""
+    entry = BackendEntry(
+        server_id=server_id,
+        service="maps",
+        region=region,
+        failure_domain=front.cfg.failure_domain,
+        host="127.0.0.1",
+        port=port,
+        slots=slots,
+    )
+    backends.apply_entry(front.view.backends, entry, 0.0)
+
+
 def make_site_front(ports):
     """Returns a front that knows one route and its servers, by name and port."""
     front = make_front(retry_extra=100)
@@ -182,16 +197,8 @@
     front.view.table = routetable.build_route_table(policy)
     for server_id, port in ports.items():
         # The server in trouble is nearer, so that it is tried first.
-        entry = BackendEntry(
-            server_id=server_id,
-            service="maps",
-            region=front.cfg.region if server_id == FAILED else "other",
-            failure_domain=front.cfg.failure_domain,
-            host="127.0.0.1",
-            port=port,
-            slots=3,
-        )
-        backends.apply_entry(front.view.backends, entry, 0.0)
+        region = front.cfg.region if server_id == FAILED else "other"
+        add_entry(front, server_id, port, region)
     return front
 
 
@@ -235,7 +242,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
-            await _stop_server(server)
+            await stop_server(server)
         # Writers that are collected after the event loop is closed raise in `__del__`,
         # which breaks a parse that is in progress.
         await asyncio.sleep(0)
