Leave a log line that is still being written out of what tests read

The test polls the log of a front that is writing to it, and read_log parsed the last line before its end was there. The reader of the events in cutsites had the same fault; that of bench.spread left such lines out already.

Change: one reader for all three, standins' eventlog.read_event_log, which leaves out what follows the last newline. A complete line that is no JSON is still an error.

Ruled out: a fault of the front, whose line was complete in the log when the test ended.

Conclusion: the failure was the test's reader.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -14,11 +14,12 @@
 import click
 import psutil
 from flamingolift_model.plan import InstanceEntry
+from flamingolift_standins.eventlog import read_event_log
 from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
 from flamingolift_wire.codec import decode_document, encode_document
 
 from bench.report import write_json
-from bench.spreadreport import Run, print_run, read_events, read_metrics, summarize
+from bench.spreadreport import Run, print_run, read_metrics, summarize
 from integration.platformfleet import (
     ROUTES,
     is_ready,
@@ -203,7 +204,7 @@
 
 
 def _known_instances(front):
-    return len({e["peer"] for e in read_events(front.log_path, "instance_changed")})
+    return len({e["peer"] for e in read_event_log(front.log_path, "instance_changed")})
 
 
 async def _stop_region(region):
@@ -223,7 +224,7 @@
 
 
 def _newest_policy(front):
-    changes = read_events(front.log_path, "policy_in_force")
+    changes = read_event_log(front.log_path, "policy_in_force")
     return max((e["policy"] for e in changes), default=0)
 
 
@@ -242,7 +243,7 @@
         for front in fronts
         if any(
             e["policy"] == 2 and e["source"] == "store"
-            for e in read_events(front.log_path, "policy_in_force")
+            for e in read_event_log(front.log_path, "policy_in_force")
         )
     ]
 
--- a/bench/spreadreport.py
+++ b/bench/spreadreport.py
@@ -3,11 +3,12 @@
 import json
 import math
 
+from flamingolift_standins.eventlog import read_event_log
 from prometheus_client.parser import text_string_to_metric_families
 
 from integration.platformfleet import call
 
-__all__ = ["Run", "print_run", "read_events", "read_metrics", "summarize"]
+__all__ = ["Run", "print_run", "read_metrics", "summarize"]
 
 BOUNDS_S = (2.5, 3.0)
 """Times by which a policy should be in force on every instance (s)."""
@@ -60,17 +61,6 @@
         self.ended = 0.0
 
 
-def read_events(log_path, name):
-    """Returns the events of one name in a front's log, as maps.
-
-    Only lines that contain the name are parsed: logs are polled by the process that
-    also carries the links.
-    """
-    lines = log_path.read_text().splitlines(keepends=True)
-    found = [json.loads(s) for s in lines if name in s and s.endswith("\n")]
-    return [event for event in found if event["event"] == name]
-
-
 async def read_metrics(port):
     """Returns the counters of a metrics page as a map of (name, labels) to value."""
     page = await call(port, "GET", "/metrics")
@@ -112,7 +102,7 @@
 
 
 def _window_events(fronts, name, first, last):
-    events = [e for front in fronts for e in read_events(front.log_path, name)]
+    events = [e for front in fronts for e in read_event_log(front.log_path, name)]
     return [e for e in events if first <= e["mono"] <= last]
 
 
@@ -135,7 +125,7 @@
 
 def _time_in_force(run, front, version):
     """Returns the time from acceptance to a policy or a newer one (s), or None."""
-    events = read_events(front.log_path, "policy_in_force")
+    events = read_event_log(front.log_path, "policy_in_force")
     in_force = [e["mono"] for e in events if e["policy"] >= version]
     if not in_force or min(in_force) > run.ended:
         return None
--- a/integration/cutsites.py
+++ b/integration/cutsites.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import gc
-import json
 import os
 
 from flamingolift_decisions import backends, routetable
@@ -21,6 +20,7 @@
     WeightedService,
 )
 from flamingolift_platform.settings import HEADER_NAMES
+from flamingolift_standins.eventlog import read_event_log
 from flamingolift_standins.faultproxy import start_proxy
 from flamingolift_standins.platformserver import start_server, stop_server
 from flamingolift_standins.ports import free_ports
@@ -223,8 +223,7 @@
 def events(instance, name):
     """Returns the events of one name that an instance logged."""
     flush_log(instance.front.log)
-    lines = map(json.loads, instance.log_path.read_text().splitlines())
-    return [line for line in lines if line["event"] == name]
+    return read_event_log(instance.log_path, name)
 
 
 async def send(instance, method, path, *, number=1, deadline_ms=2000, body=b""):
--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -1,12 +1,12 @@
 """Starts fronts as real processes against the platform's stand-ins."""
 
 import asyncio
-import json
 import os
 import random
 import string
 import sys
 
+from flamingolift_standins.eventlog import read_event_log
 from flamingolift_standins.platformserver import start_server, stop_server
 from flamingolift_standins.platformstore import put_item, start_store, stop_store
 from flamingolift_standins.ports import free_ports
@@ -191,7 +191,7 @@
 
 def read_log(front):
     """Returns the events that a front logged, as maps."""
-    return [json.loads(line) for line in front.log_path.read_text().splitlines()]
+    return read_event_log(front.log_path)
 
 
 async def wait_until(condition, timeout_s=10.0):
@@ -301,7 +301,7 @@
 
 def events(front, name):
     """Returns the events of one name that a front logged."""
-    return [line for line in read_log(front) if line["event"] == name]
+    return read_event_log(front.log_path, name)
 
 
 def store_is_lost(front):
