Let callers wait for the first view of an instance that has just started

Cause: when a whole fleet comes back at once, each instance accepts callers before it has read its first view, and refuses them with NOT_READY; their one retry meets another instance that knows no more. Look-ups fail in the same way.

Ruled out: opening the listeners later. Callers then get refused connections, which they count as failures of the address.

--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -26,6 +26,7 @@
     serverpool,
 )
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.firstview import wait_for_policy
 from flamingolift_front.pathrecords import may_connect
 from flamingolift_front.refusals import quiet_fault, retryable_fault
 from flamingolift_front.requesttrace import SendRecord, is_repeat, may_have_run
@@ -81,13 +82,10 @@
     Returns:
         Ok with a ForwardedResponse, or Error with a Fault.
     """
+    if not await wait_for_policy(front, req):
+        detail = "no routing policy has been read yet"
+        return Error(retryable_fault(front, ResultCode.NOT_READY, detail))
     table = front.view.table
-    if table is None:
-        return Error(
-            retryable_fault(
-                front, ResultCode.NOT_READY, "no routing policy has been read yet"
-            )
-        )
     trace.policy = table.number
     route = find_route(table, req)
     if route is None:
