Learn for each route what a server in another region costs

Cause: CROSS_REGION_COST, 0.08 of the work, and the weight 2 of the own region's servers were constants.

Change: decisions/regioncost.py learns the cost from connects and answers. It decides the weight of each region's servers in an object's order, in steps of 2**0.25 every 2 s at most, between 2 (as before) and 32, lower while the own region's servers are full; and the cost of a single choice, up to 0.6, so that a server that holds the object stays preferable.

Ruled out: the learnt cost in the single choice alone, which changes nothing below 0.7 of the work, and beyond it moves a sixth of a route's requests at one moment.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -15,7 +15,7 @@
 
 import click
 import numpy
-from flamingolift_decisions import affinity
+from flamingolift_decisions import affinity, regioncost
 from flamingolift_decisions.hashing import unit_hash
 from flamingolift_standins import fleetsimulation
 from flamingolift_standins.fleetsimulation import Workload
@@ -91,7 +91,7 @@
     times = numpy.array([[-math.log(unit_hash(k, n)) for n in names] for k in keys])
     regions = numpy.array([int(key[1 : key.index("-")]) for key in keys])
     own = regions[:, None] == numpy.arange(len(names))[None, :] % load.regions
-    times /= numpy.where(own, affinity.OWN_REGION_WEIGHT, 1.0)
+    times /= numpy.where(own, regioncost.OWN_REGION_WEIGHT, 1.0)
     factors = numpy.ones(len(names))
     mean = len(keys) / len(names)
     for _ in range(FITTING_STEPS):
--- a/packages/decisions/src/flamingolift_decisions/affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/affinity.py
@@ -9,9 +9,16 @@
 from flamingolift_decisions.backends import eligible_backends, is_withheld
 from flamingolift_decisions.hashing import weighted_order
 from flamingolift_decisions.loads import estimate_load, mean_load
+from flamingolift_decisions.regioncost import (
+    CACHED_COST,
+    CROSS_REGION_COST,
+    DEFAULT_COSTS,
+    region_weight,
+)
 from flamingolift_decisions.serverlimits import is_limited
 
 __all__ = [
+    "CACHING_SERVERS",
     "AffinityCache",
     "expected_cost",
     "has_room",
@@ -24,14 +31,9 @@
 CACHING_SERVERS = 1
 """Number of servers at the head of an object's order that are assumed to have the
 object cached."""
-CACHED_COST = 0.3
-"""Work for an object that the server has cached, relative to the work for one that
-it has not (ratio)."""
-CROSS_REGION_COST = 0.08
-"""Cost of a round trip to another region, relative to the work for an uncached
-object (ratio)."""
 BULK_CROSS_REGION_COST = 1.0
-"""The same for large answers, which also take bandwidth between regions (ratio)."""
+"""Cost of another region for large answers, which also take bandwidth between regions,
+relative to the work for an uncached object (ratio)."""
 MAX_SERVERS_WHEN_BUSY = 2
 """Number of servers that an object may use while its service is busy. Further ones
 do not have it cached, so that each request would occupy a scarce slot for longer."""
@@ -44,9 +46,6 @@
 """Requests that may queue at a server for each of its slots (ratio). A queued request
 then waits for the work of about one other request, which the latency objectives
 of requests for cached objects still allow."""
-OWN_REGION_WEIGHT = 2.0
-"""Weight of a server of the own region in an object's order, that of another region's
-server being 1 (ratio). An object is mostly asked for in one region."""
 MAX_CACHED_ORDERS = 4096
 """Number of orders above which the cache is cleared."""
 
@@ -56,7 +55,8 @@
 
     Attributes:
         generation: Generation of the server set that the orders were computed for.
-        orders: Map of (service, object key) to a map of server id to its place.
+        orders: Map of (service, object key, steps of the regions' weights) to a map
+            of server id to its place.
     """
 
     __slots__ = ("generation", "orders")
@@ -66,11 +66,12 @@
         self.orders = {}
 
 
-def rank_backends(cache, view, service, object_key, region):
+def rank_backends(cache, view, service, object_key, region, costs=DEFAULT_COSTS):
     """Ranks a service's servers for an object by weighted rendezvous hashing.
 
     The servers of the own region come first for most objects, for fewer the fewer
-    there are: a region with few servers leaves more objects to the others.
+    there are: a region with few servers leaves more objects to the others. The dearer
+    another region is for a route, the fewer objects have their first server there.
 
     Args:
         cache: AffinityCache.
@@ -78,6 +79,7 @@
         service: Service name.
         object_key: Name of the object.
         region: Region of this instance, the same at each call with a cache.
+        costs: RouteCosts of the request's route.
 
     Returns:
         Map of server id to its place in the order, the preferred one first.
@@ -90,15 +92,17 @@
     if cache.generation != view.generation or len(cache.orders) > MAX_CACHED_ORDERS:
         cache.orders.clear()
         cache.generation = view.generation
-    order = cache.orders.get((service, object_key))
+    cache_key = service, object_key, costs.steps_key
+    order = cache.orders.get(cache_key)
     if order is None:
+        entries = [b.entry for b in view.by_service.get(service, ())]
         weights = {
-            b.entry.server_id: OWN_REGION_WEIGHT if b.entry.region == region else 1.0
-            for b in view.by_service.get(service, ())
+            e.server_id: 1.0 if e.region == region else region_weight(costs, e.region)
+            for e in entries
         }
         ranked = weighted_order(object_key, weights)
         order = {name: place for place, name in enumerate(ranked)}
-        cache.orders[service, object_key] = order
+        cache.orders[cache_key] = order
     return order
 
 
@@ -114,7 +118,7 @@
     return estimate_load(backend, now) < slots * (1.0 + queue_per_slot)
 
 
-def expected_cost(backend, place, region, bulk, now):
+def expected_cost(backend, place, region, bulk, now, costs=DEFAULT_COSTS):
     """Estimates the time of a request, relative to the work for an uncached object.
 
     Args:
@@ -123,6 +127,7 @@
         region: Region of this instance.
         bulk: Whether the answer is large.
         now: Current time (s, monotonic).
+        costs: RouteCosts of the request's route.
 
     Returns:
         Sum of the work, the expected wait in the queue and the cost of another
@@ -133,11 +138,12 @@
     queued = max(0, estimate_load(backend, now) - slots + 1)
     cost = work * (1.0 + queued / slots)
     if backend.entry.region != region:
-        cost += BULK_CROSS_REGION_COST if bulk else CROSS_REGION_COST
+        learnt = costs.regions.get(backend.entry.region, CROSS_REGION_COST)
+        cost += BULK_CROSS_REGION_COST if bulk else learnt
     return cost
 
 
-def least_cost_backend(ranked, region, bulk, now):
+def least_cost_backend(ranked, region, bulk, now, costs=DEFAULT_COSTS):
     """Picks the server with the least expected time for an object.
 
     Args:
@@ -145,6 +151,7 @@
         region: Region of this instance.
         bulk: Whether the answer is large.
         now: Current time (s, monotonic).
+        costs: RouteCosts of the requests' route.
 
     Returns:
         Backend, or None when no candidate has room. Among servers
@@ -155,7 +162,7 @@
         for place, backend in enumerate(ranked):
             if not has_room(backend, queue_per_slot, now):
                 continue
-            cost = expected_cost(backend, place, region, bulk, now)
+            cost = expected_cost(backend, place, region, bulk, now, costs)
             if best is None or cost < best_cost:
                 best, best_cost = backend, cost
         if best is not None:
@@ -196,6 +203,7 @@
     region,
     now,
     may_use=lambda backend: True,
+    costs=DEFAULT_COSTS,
 ):
     """Picks the server for the next attempt of a request.
 
@@ -211,6 +219,7 @@
         now: Current time (s, monotonic).
         may_use: Function of a Backend; returns whether it may be picked. A server
             that names a limit needs a grant before the send.
+        costs: RouteCosts of the route.
 
     Returns:
         Tuple of the Backend, or None when none may take the request, and its place
@@ -224,7 +233,7 @@
         after its cause is gone.
     """
     if object_key:
-        order = rank_backends(cache, view, service, object_key, region)
+        order = rank_backends(cache, view, service, object_key, region, costs)
         is_busy = mean_load(view, service, now) >= BUSY_LOAD
         limit = MAX_SERVERS_WHEN_BUSY if is_busy else None
     else:
@@ -239,7 +248,7 @@
             ranked.sort(key=lambda b: b.entry.region != region)
         first, others = split_by_limit(ranked, now)
         for group in (first[:limit], others):
-            chosen = least_cost_backend(group, region, route.bulk, now)
+            chosen = least_cost_backend(group, region, route.bulk, now, costs)
             if chosen is not None:
                 return chosen, order[chosen.entry.server_id]
         if first:
--- a/packages/decisions/src/flamingolift_decisions/loads.py
+++ b/packages/decisions/src/flamingolift_decisions/loads.py
@@ -6,7 +6,7 @@
 
 from flamingolift_decisions.serverlimits import is_limited
 
-__all__ = ["estimate_load", "mean_load", "record_load"]
+__all__ = ["estimate_load", "mean_load", "record_load", "region_load"]
 
 SERVER_LOAD_MAX_AGE_S = 0.5
 """Age up to which a report counts in the estimate of that server's load (s)."""
@@ -52,14 +52,34 @@
     cached = view.mean_loads.get(service)
     if cached is not None and now - cached[1] < MEAN_LOAD_TTL_S:
         return cached[0]
+    mean = _mean_of(view.by_service.get(service, ()), now)
+    view.mean_loads[service] = (mean, now)
+    return mean
+
+
+def region_load(view, service, region, now):
+    """Returns the mean load that other instances put on the servers of one region.
+
+    Args:
+        view: BackendView.
+        service: Service name.
+        region: Region of the servers.
+        now: Current time (s, monotonic).
+
+    Returns:
+        Requests for each slot (ratio), like `mean_load`.
+    """
+    known = view.by_service.get(service, ())
+    return _mean_of([b for b in known if b.entry.region == region], now)
+
+
+def _mean_of(servers, now):
     load, slots = 0, 0
-    for backend in view.by_service.get(service, ()):
+    for backend in servers:
         # Slots that a limit leaves unused cannot take the load of other servers.
         if is_limited(backend):
             continue
         if now - backend.external_load_at < SERVICE_LOAD_MAX_AGE_S:
             load += backend.external_load
             slots += max(1, backend.entry.slots)
-    mean = load / slots if slots else 0.0
-    view.mean_loads[service] = (mean, now)
-    return mean
+    return load / slots if slots else 0.0
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -11,6 +11,7 @@
     availability,
     backends,
     loads,
+    regioncost,
     routetable,
     serverlimits,
     serverpaths,
@@ -254,17 +255,22 @@
 
 def _pick(front, req, route, trace, now, may_use):
     """Returns the Backend for the next send, or None, and its rank."""
+    view, region = front.view.backends, front.cfg.region
+    costs = regioncost.learn_route(
+        front.region_costs, route.name, view, trace.service, region, now
+    )
     return affinity.pick_backend(
-        front.view.backends,
+        view,
         front.affinity_cache,
         trace.service,
         route,
         req.object_key,
         req.request_id,
         trace.tried,
-        front.cfg.region,
+        region,
         now,
         may_use,
+        costs,
     )
 
 
@@ -332,6 +338,7 @@
     server_id = backend.entry.server_id
     load = loads.estimate_load(backend, started)
     send = SendRecord(server_id, rank, load, backend.entry.started_ms)
+    send.cached = bool(req.object_key) and rank < affinity.CACHING_SERVERS
     trace.tried.add(server_id)
     backends.record_send(front.view.backends, backend, started)
     if is_repeat(trace):
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -11,6 +11,7 @@
     Attributes:
         server_id: Id of the server.
         rank: Rank of the server in the rendezvous order of the object.
+        cached: Whether the server is assumed to have the object cached.
         load: Estimated requests on the server before the send (count).
         started_ms: Start of the server by its entry at that time (ms since the epoch).
         sent: Whether a connection was made and bytes of the request written to it.
@@ -20,6 +21,7 @@
     """
 
     __slots__ = (
+        "cached",
         "elapsed_ms",
         "load",
         "outcome",
@@ -33,6 +35,7 @@
     def __init__(self, server_id, rank, load, started_ms):
         self.server_id = server_id
         self.rank = rank
+        self.cached = False
         self.load = load
         self.started_ms = started_ms
         self.sent = False
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -5,6 +5,7 @@
 import time
 
 import h11
+from flamingolift_decisions.regioncost import record_connect
 
 from flamingolift_front import bytestream, httpcall, serverpool
 from flamingolift_front.eventlog import log_event
@@ -183,6 +184,7 @@
     if stream is None:
         try:
             stream = await bytestream.connect(*address, CONNECT_TIMEOUT_S)
+            connect_s = time.monotonic() - now
         except (OSError, TimeoutError) as exc:
             if getattr(exc, "errno", None) not in _OWN_ERRORS:
                 return Outcome.UNREACHED, None
@@ -191,6 +193,7 @@
             return Outcome.NOT_SENT, None
         front.pool.opened += 1
         note_connected(front, entry.service)
+        record_connect(front.region_costs, entry.region, connect_s)
         is_reused = False
     finished = False
     send.sent, send.reused = True, is_reused
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -2,7 +2,7 @@
 
 import time
 
-from flamingolift_decisions import attempttimeout, backends, loads
+from flamingolift_decisions import attempttimeout, backends, loads, regioncost
 
 from flamingolift_front import httpcall, limitgrants, servernotices, serverpool
 from flamingolift_front.eventlog import log_event
@@ -41,6 +41,14 @@
         attempttimeout.record_answer_time(
             response_times_for(front, trace.route), elapsed_s
         )
+        regioncost.record_work(
+            front.region_costs,
+            trace.route,
+            backend.entry.region,
+            send.cached,
+            1 if send.reused else 2,
+            elapsed_s,
+        )
     front.metrics.sends.labels(trace.service, send.outcome.value).inc()
     if send.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
         _record_outcome(front, backend, send, forwarded)
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -10,6 +10,7 @@
 from flamingolift_decisions.attempttimeout import AnswerTimes
 from flamingolift_decisions.backends import BackendView
 from flamingolift_decisions.instancecount import InstanceCount
+from flamingolift_decisions.regioncost import RegionCosts
 from flamingolift_decisions.serverpaths import ServerPaths
 from flamingolift_decisions.windowbudget import WindowBudget
 
@@ -216,6 +217,7 @@
         metrics: FrontMetrics.
         pool: ServerPool.
         affinity_cache: AffinityCache.
+        region_costs: RegionCosts.
         response_times: Map of route name to AnswerTimes.
         paths: ServerPaths of all signs of a path to a server.
         connects: ServerPaths of connects alone.
@@ -256,6 +258,7 @@
         "metrics",
         "paths",
         "pool",
+        "region_costs",
         "response_times",
         "retry_budgets",
         "rng",
@@ -281,6 +284,7 @@
         self.helper_pool = ServerPool()
         self.taken = 0
         self.affinity_cache = AffinityCache()
+        self.region_costs = RegionCosts()
         self.response_times = {}
         self.retry_budgets = {}
         self.crashes = Crashes()
