Explain how much a server of another region weighs for a route

Cause: the explanation of a request ordered an object's servers by the weights before any cost is learnt, so that it could name others than the requests reached.

Requests without an object follow the learnt weights too.

--- a/packages/decisions/src/flamingolift_decisions/affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/affinity.py
@@ -237,7 +237,7 @@
         is_busy = mean_load(view, service, now) >= BUSY_LOAD
         limit = MAX_SERVERS_WHEN_BUSY if is_busy else None
     else:
-        order = rank_backends(cache, view, service, request_id, region)
+        order = rank_backends(cache, view, service, request_id, region, costs)
         limit = None
     for candidates in eligible_backends(view, service, route, now):
         untried = [
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -74,6 +74,7 @@
         query.get("path", "/"),
         query.get("object", ""),
         time.monotonic(),
+        front.region_costs,
         quarantine.current_holds(front.crashes.record, time.monotonic()),
     )
     return {
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -130,8 +130,8 @@
         [
             (
                 f"{DECISIONS}/affinity.py",
-                "order = rank_backends(cache, view, service, object_key, region)",
-                "order = rank_backends(cache, view, service, request_id, region)",
+                "order = rank_backends(cache, view, service, object_key, region, costs)",
+                "order = rank_backends(cache, view, service, request_id, region, costs)",
             )
         ],
         f"{PATH}::test_requests_for_an_object_keep_their_server",
@@ -434,7 +434,7 @@
     "F35 order servers without the region": (
         [
             (
-                f"{DECISIONS}/affinity.py",
+                f"{DECISIONS}/regioncost.py",
                 "OWN_REGION_WEIGHT = 2.0",
                 "OWN_REGION_WEIGHT = 1.0",
             )
