Split the forwarding of requests: what may still be tried, one attempt, and faults

Change: tries.py, attempts.py and failures.py hold three of them; no behaviour changes. Two tests name the modules that they patch or read anew.

--- a/packages/front/src/flamingolift_front/tests/test_reused_addresses.py
+++ b/packages/front/src/flamingolift_front/tests/test_reused_addresses.py
@@ -7,7 +7,7 @@
 import contextlib
 
 import pytest
-from flamingolift_front import forwarding
+from flamingolift_front import tries
 from test_unanswered_requests import connect, read_answer, send
 from troubledserver import (
     SOUND_BODY,
@@ -66,13 +66,13 @@
 
 # Guards against a request that visits all of the addresses.
 async def test_number_of_such_addresses_is_bounded():
-    count = forwarding.MAX_MISDIRECTED + 2
+    count = tries.MAX_MISDIRECTED + 2
     async with run_reused_site(count, 2) as (site, reused), connect(site) as caller:
         send(caller, 1)
         status, body = await read_answer(caller)
         assert status == 503 and b"not-run" in body
         assert b"other servers answered" in body
-        assert sum(s.requests for s in reused) == forwarding.MAX_MISDIRECTED
+        assert sum(s.requests for s in reused) == tries.MAX_MISDIRECTED
 
 
 # Guards against arrivals that the retry budget does not see.
--- a/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
+++ b/packages/front/src/flamingolift_front/tests/test_unanswered_requests.py
@@ -5,7 +5,8 @@
 import time
 
 import pytest
-from flamingolift_front import forwarding, httpcall, requestreading, sending
+from flamingolift_decisions import affinity
+from flamingolift_front import httpcall, requestreading, sending
 from flamingolift_model.routing import RequestLimits
 from troubledserver import (
     CHUNK,
@@ -140,7 +141,7 @@
 @pytest.mark.parametrize(
     ("module", "function", "status", "outcome"),
     [
-        (forwarding.affinity, "pick_backend", 503, b"not-run"),
+        (affinity, "pick_backend", 503, b"not-run"),
         (sending.serverpool, "return_connection", 500, b"unknown"),
     ],
 )
@@ -163,7 +164,7 @@
         raise ConnectionResetError
 
     async with run_sound_site() as site, connect(site) as caller:
-        monkeypatch.setattr(forwarding.affinity, "pick_backend", fail)
+        monkeypatch.setattr(affinity, "pick_backend", fail)
         send(caller, 1)
         status, body = await read_answer(caller)
         assert status == 503 and b"not-run" in body
