Keep the index of the servers by service up to date entry by entry

Cause: apply_entry built the whole index anew for each entry.

Change: a server is inserted into, or taken out of, its own service's list.

Ruled out: the decoding of the entries, 0.045 s, which grows with the view only.

Conclusion: the time for an entry no longer grows with the fleet.

--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -6,6 +6,7 @@
 sends it requests only at its share of the rate that a cold server can handle.
 """
 
+import bisect
 import math
 import random
 
@@ -119,7 +120,7 @@
 
     Attributes:
         backends: Map of server id to Backend.
-        by_service: Map of service name to a list of Backend.
+        by_service: Map of service name to a list of Backend, ordered by server id.
         generation: Number that is incremented when the set of servers changes.
         evacuations: Map of failure domain to Evacuation.
         services: Map of service name to ServiceSpec.
@@ -177,11 +178,12 @@
         backend = view.backends[entry.server_id] = Backend(entry)
         backend.notice = view.notices.get((entry.server_id, entry.started_ms))
         extend_cold_period(view, backend, entry.cold_ms / 1000.0, now)
-        _reindex(view)
+        _add_to_index(view, backend)
         return Some("joined")
     before, backend.entry = backend.entry, entry
     if _is_index_key_changed(before, entry):
-        _reindex(view)
+        _remove_from_index(view, backend, before.service)
+        _add_to_index(view, backend)
     if before.started_ms != entry.started_ms:
         backend.suspended_until = backend.trial_until = -math.inf
         backend.failures = backend.lost = backend.late = 0
@@ -207,15 +209,28 @@
     )
 
 
-def _reindex(view):
-    by_service = {}
-    for server_id in sorted(view.backends):
-        backend = view.backends[server_id]
-        by_service.setdefault(backend.entry.service, []).append(backend)
-    view.by_service = by_service
+def _add_to_index(view, backend):
+    """Adds a server to its service's list, which is replaced: it may be in use."""
+    service = backend.entry.service
+    servers = list(view.by_service.get(service, ()))
+    bisect.insort(servers, backend, key=_server_id)
+    view.by_service[service] = servers
     view.generation += 1
 
 
+def _remove_from_index(view, backend, service):
+    servers = [b for b in view.by_service[service] if b is not backend]
+    if servers:
+        view.by_service[service] = servers
+    else:
+        del view.by_service[service]
+    view.generation += 1
+
+
+def _server_id(backend):
+    return backend.entry.server_id
+
+
 def extend_cold_period(view, backend, duration_s, now):
     """Marks a server as cold for a time from now.
 
@@ -252,7 +267,7 @@
     """
     backend = view.backends.pop(server_id, None)
     if backend is not None:
-        _reindex(view)
+        _remove_from_index(view, backend, backend.entry.service)
     return backend
 
 
