--- a/packages/decisions/src/flamingolift_decisions/tests/test_backends.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_backends.py
@@ -10,7 +10,7 @@
 SMALL, LARGE = 500, 4000
 """Servers of a small and of a large fleet."""
 MAX_GROWTH = 3.0
-"""Time for each server in the large fleet, relative to that in the small one (ratio)."""
+"""Time for each server there, relative to that in the small fleet (ratio)."""
 
 
 def make_entry(number, service="maps", port=0):
