--- a/packages/front/src/flamingolift_front/readahead.py
+++ b/packages/front/src/flamingolift_front/readahead.py
@@ -165,11 +165,11 @@
     Returns:
         List of the Exchange objects that were sent to servers.
     """
-    cancel_started(conn)
     await stop_reading(conn)
+    cancel_started(conn)
     started = [exchange for exchange in conn.ahead if exchange.task is not None]
     for exchange in started:
-        await drop_exchange(front, exchange)
+        await _settle(front, exchange)
     return started
 
 
@@ -180,15 +180,14 @@
         front: Front.
         exchange: Exchange.
     """
-    if exchange.task is None:
-        return
-    exchange.task.cancel()
-    await asyncio.wait([exchange.task])
-    _release_stream(front, exchange)
+    if exchange.task is not None:
+        exchange.task.cancel()
+        await _settle(front, exchange)
 
 
-def _release_stream(front, exchange):
-    """Closes the connection of an answer whose rest is still with the server."""
+async def _settle(front, exchange):
+    """Waits for a cancelled request; closes the connection of an unfinished answer."""
+    await asyncio.wait([exchange.task])
     if exchange.task.cancelled() or exchange.task.exception() is not None:
         return
     result = exchange.task.result()
