Send large answers of a full region to one with room, and name a spent retry budget

Cause: large answers come from the own region, so that an instance hears from that region's few servers alone and takes their load for that of the service. Refusals after a 421 or a failed connect said that all servers were full, though the retry budget was spent.

Change: decisions/fullregions.py decides where a new request may go. The share that would be refused by the own region's load leaves the region while the others have room; their load and the own region's limit an object's servers each by itself. The refusal says "the retry budget is spent".

Ruled out: the least loaded region for all large answers, which moves a whole region at once.

--- a/packages/decisions/src/flamingolift_decisions/affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/affinity.py
@@ -8,7 +8,12 @@
 
 from flamingolift_decisions.backends import eligible_backends, is_withheld
 from flamingolift_decisions.hashing import weighted_order
-from flamingolift_decisions.loads import estimate_load, mean_load
+from flamingolift_decisions.loads import (
+    estimate_load,
+    mean_load,
+    other_regions_load,
+    region_load,
+)
 from flamingolift_decisions.regioncost import (
     CACHED_COST,
     CROSS_REGION_COST,
@@ -18,6 +23,7 @@
 from flamingolift_decisions.serverlimits import is_limited
 
 __all__ = [
+    "BUSY_LOAD",
     "CACHING_SERVERS",
     "AffinityCache",
     "expected_cost",
@@ -192,6 +198,20 @@
     return first, others
 
 
+def _servers_limit(load):
+    """Returns how many servers an object may use at a mean load; None for all."""
+    return MAX_SERVERS_WHEN_BUSY if load >= BUSY_LOAD else None
+
+
+def _few_of_each_side(view, service, ranked, region, now):
+    """Keeps few servers of the own region, and of the others, where these are busy."""
+    near = [b for b in ranked if b.entry.region == region]
+    far = [b for b in ranked if b.entry.region != region]
+    near = near[: _servers_limit(region_load(view, service, region, now))]
+    far = far[: _servers_limit(other_regions_load(view, service, region, now))]
+    return [*near, *far]
+
+
 def pick_backend(
     view,
     cache,
@@ -204,6 +224,7 @@
     now,
     may_use=lambda backend: True,
     costs=DEFAULT_COSTS,
+    spill=False,
 ):
     """Picks the server for the next attempt of a request.
 
@@ -220,6 +241,7 @@
         may_use: Function of a Backend; returns whether it may be picked. A server
             that names a limit needs a grant before the send.
         costs: RouteCosts of the route.
+        spill: Whether it stays away from the own region while others may take it.
 
     Returns:
         Tuple of the Backend, or None when none may take the request, and its place
@@ -232,13 +254,8 @@
         not have it cached, and the additional work there would sustain the overload
         after its cause is gone.
     """
-    if object_key:
-        order = rank_backends(cache, view, service, object_key, region, costs)
-        is_busy = mean_load(view, service, now) >= BUSY_LOAD
-        limit = MAX_SERVERS_WHEN_BUSY if is_busy else None
-    else:
-        order = rank_backends(cache, view, service, request_id, region, costs)
-        limit = None
+    key = object_key or request_id
+    order = rank_backends(cache, view, service, key, region, costs)
     for candidates in eligible_backends(view, service, route, now):
         untried = [
             b for b in candidates if b.entry.server_id not in tried and may_use(b)
@@ -247,7 +264,13 @@
         if route.bulk:
             ranked.sort(key=lambda b: b.entry.region != region)
         first, others = split_by_limit(ranked, now)
-        for group in (first[:limit], others):
+        if object_key and route.bulk:
+            first = _few_of_each_side(view, service, first, region, now)
+        elif object_key:
+            first = first[: _servers_limit(mean_load(view, service, now))]
+        if spill:
+            first = [b for b in first if b.entry.region != region] or first
+        for group in (first, others):
             chosen = least_cost_backend(group, region, route.bulk, now, costs)
             if chosen is not None:
                 return chosen, order[chosen.entry.server_id]
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -129,8 +129,9 @@
             the removal of an entry, which may come back.
         rng: Random number generator for pauses and for load shedding, so that the
             instances do not act in step.
-        mean_loads: Map of service name to a tuple of its mean load (ratio) and
-            the time at which that was computed (s, monotonic).
+        mean_loads: Map of service name, or of service, region and the side of its
+            border, to a tuple of the mean load (ratio) and the time at which that was
+            computed (s, monotonic).
     """
 
     __slots__ = (
--- a/packages/decisions/src/flamingolift_decisions/loads.py
+++ b/packages/decisions/src/flamingolift_decisions/loads.py
@@ -6,7 +6,13 @@
 
 from flamingolift_decisions.serverlimits import is_limited
 
-__all__ = ["estimate_load", "mean_load", "record_load", "region_load"]
+__all__ = [
+    "estimate_load",
+    "mean_load",
+    "other_regions_load",
+    "record_load",
+    "region_load",
+]
 
 SERVER_LOAD_MAX_AGE_S = 0.5
 """Age up to which a report counts in the estimate of that server's load (s)."""
@@ -49,12 +55,7 @@
         Requests for each slot (ratio), from the last report of each server that names
         no limit; 0 when none has reported within `SERVICE_LOAD_MAX_AGE_S`.
     """
-    cached = view.mean_loads.get(service)
-    if cached is not None and now - cached[1] < MEAN_LOAD_TTL_S:
-        return cached[0]
-    mean = _mean_of(view.by_service.get(service, ()), now)
-    view.mean_loads[service] = (mean, now)
-    return mean
+    return _reused_mean(view, service, service, lambda _entry: True, now)
 
 
 def region_load(view, service, region, now):
@@ -69,17 +70,38 @@
     Returns:
         Requests for each slot (ratio), like `mean_load`.
     """
-    known = view.by_service.get(service, ())
-    return _mean_of([b for b in known if b.entry.region == region], now)
+    key = service, region, "inside"
+    return _reused_mean(view, key, service, lambda entry: entry.region == region, now)
+
+
+def other_regions_load(view, service, region, now):
+    """Returns the mean load that other instances put on the servers of other regions.
 
+    Args:
+        view: BackendView.
+        service: Service name.
+        region: Region whose servers are left out.
+        now: Current time (s, monotonic).
 
-def _mean_of(servers, now):
+    Returns:
+        Requests for each slot (ratio), like `mean_load`.
+    """
+    key = service, region, "outside"
+    return _reused_mean(view, key, service, lambda entry: entry.region != region, now)
+
+
+def _reused_mean(view, key, service, is_counted, now):
+    cached = view.mean_loads.get(key)
+    if cached is not None and now - cached[1] < MEAN_LOAD_TTL_S:
+        return cached[0]
     load, slots = 0, 0
-    for backend in servers:
+    for backend in view.by_service.get(service, ()):
         # Slots that a limit leaves unused cannot take the load of other servers.
-        if is_limited(backend):
+        if is_limited(backend) or not is_counted(backend.entry):
             continue
         if now - backend.external_load_at < SERVICE_LOAD_MAX_AGE_S:
             load += backend.external_load
             slots += max(1, backend.entry.slots)
-    return load / slots if slots else 0.0
+    mean = load / slots if slots else 0.0
+    view.mean_loads[key] = (mean, now)
+    return mean
--- a/packages/front/src/flamingolift_front/failures.py
+++ b/packages/front/src/flamingolift_front/failures.py
@@ -3,6 +3,7 @@
 import time
 
 from flamingolift_decisions import availability, backends, loads
+from flamingolift_decisions.fullregions import Placing
 from flamingolift_model import Fault, ResultCode
 
 from flamingolift_front.pathrecords import may_connect
@@ -54,8 +55,10 @@
     if trace.misdirected >= MAX_MISDIRECTED:
         detail = "other servers answered at the addresses of the service"
         return retryable_fault(front, ResultCode.NO_BACKEND, detail)
-    if trace.shed:
+    if trace.placing is Placing.SHED:
         return _overload_fault(front, trace, "load shedding", now)
+    if trace.budget_spent:
+        return _overload_fault(front, trace, "the retry budget is spent", now)
     warm, cold = backends.eligible_backends(view, trace.service, route, now)
     if warm or cold:
         withheld = sum(backends.is_withheld(b, now) for b in [*warm, *cold])
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -4,8 +4,8 @@
 
 from expression import Error, Ok, Result
 from flamingolift_decisions import (
-    admission,
     backends,
+    fullregions,
     routetable,
     serverlimits,
     serverpaths,
@@ -114,7 +114,9 @@
 async def _run_until(front, req, route, trace, deadline):
     """Serves a request, here or on another instance, until its deadline."""
     now = time.monotonic()
-    trace.shed = admission.should_shed(front.view.backends, trace.service, now)
+    trace.placing = fullregions.place_request(
+        front.view.backends, trace.service, route, front.cfg.region, now
+    )
     try:
         async with time_limit(deadline + DEADLINE_GRACE_S):
             result = await _run_attempts(front, req, route, trace, deadline)
--- a/packages/front/src/flamingolift_front/requesttrace.py
+++ b/packages/front/src/flamingolift_front/requesttrace.py
@@ -1,5 +1,7 @@
 """Trace of a request: its routing decisions and sends, for the log."""
 
+from flamingolift_decisions.fullregions import Placing
+
 from flamingolift_front.sending import NOT_RUN_OUTCOMES, Outcome
 
 __all__ = ["SendRecord", "Trace", "is_repeat", "may_have_run"]
@@ -55,7 +57,8 @@
         misdirected: Number of sends that reached another server than expected.
         sends: List of the SendRecord objects that ended.
         tried: Set of the server ids that were tried.
-        shed: Whether load shedding keeps it away from servers that name no limit.
+        placing: Placing, which says where it may go.
+        budget_spent: Whether the retry budget allowed no further send.
         unreached: Number of servers that did not accept a connection.
         handed_to: Id of the instance that the request was handed on to; empty for
             none.
@@ -69,15 +72,16 @@
 
     __slots__ = (
         "attempts",
+        "budget_spent",
         "early",
         "handed_to",
         "is_trial",
         "misdirected",
+        "placing",
         "policy",
         "route",
         "sends",
         "service",
-        "shed",
         "tried",
         "unreached",
         "waited_ms",
@@ -91,7 +95,8 @@
         self.attempts = 0
         self.sends = []
         self.tried = set()
-        self.shed = False
+        self.placing = Placing.ANY
+        self.budget_spent = False
         self.unreached = 0
         self.misdirected = 0
         self.handed_to = ""
--- a/packages/front/src/flamingolift_front/tests/test_reused_addresses.py
+++ b/packages/front/src/flamingolift_front/tests/test_reused_addresses.py
@@ -83,4 +83,5 @@
         send(caller, 1)
         status, body = await read_answer(caller)
         assert status == 503 and b"not-run" in body
+        assert b"the retry budget is spent" in body
         assert sum(server.requests for server in reused) == 1
--- a/packages/front/src/flamingolift_front/tries.py
+++ b/packages/front/src/flamingolift_front/tries.py
@@ -9,6 +9,7 @@
     serverpaths,
     windowbudget,
 )
+from flamingolift_decisions.fullregions import Placing
 
 from flamingolift_front import crashwatch, serverpool
 from flamingolift_front.pathrecords import may_connect
@@ -49,7 +50,7 @@
         return False
     if serverpaths.is_cut_off(front.paths, trace.service):
         return False
-    if trace.shed and len(trace.withheld) >= MAX_WITHHELD:
+    if trace.placing is Placing.SHED and len(trace.withheld) >= MAX_WITHHELD:
         return False
     return (
         trace.attempts < route.max_attempts
@@ -65,7 +66,9 @@
     if not is_repeat(trace):
         return True
     budget = retry_budget_for(front, trace.service)
-    return windowbudget.allow_retry(budget, front.view.backends.instances, now)
+    instances = front.view.backends.instances
+    trace.budget_spent = not windowbudget.allow_retry(budget, instances, now)
+    return not trace.budget_spent
 
 
 def usable_servers(front, route, trace):
@@ -76,7 +79,7 @@
             route.idempotent
             and serverpool.has_connection(front.pool, backend.entry.server_id, now)
         )
-    if trace.shed:
+    if trace.placing is Placing.SHED:
         return serverlimits.is_limited
     if len(trace.withheld) >= MAX_WITHHELD:
         return is_unlimited
@@ -106,4 +109,5 @@
         now,
         may_use,
         costs,
+        spill=trace.placing is Placing.SPILL,
     )
