--- a/tools/bite.py
+++ b/tools/bite.py
@@ -130,8 +130,8 @@
         [
             (
                 f"{DECISIONS}/affinity.py",
-                "order = rank_backends(cache, view, service, object_key, region, costs)",
-                "order = rank_backends(cache, view, service, request_id, region, costs)",
+                "key = object_key or request_id",
+                "key = request_id",
             )
         ],
         f"{PATH}::test_requests_for_an_object_keep_their_server",
@@ -410,8 +410,8 @@
         [
             (
                 f"{FRONT}/readahead.py",
-                "    exchange.task.cancel()\n    await",
-                "    await",
+                "        exchange.task.cancel()\n        await",
+                "        await",
             ),
             (
                 f"{FRONT}/readahead.py",
@@ -441,6 +441,38 @@
         ],
         f"{DECISIONS}/tests/test_affinity.py::test_share_of_the_own_region_follows_its_servers",
     ),
+    "F36 take the same cost of another region for all routes": (
+        [
+            (
+                f"{DECISIONS}/regioncost.py",
+                "if load <= RAISING_LOAD and cost >= _cost_at(steps + STEP_MARGIN):",
+                "if False:",
+            )
+        ],
+        f"{DECISIONS}/tests/test_regioncost.py::test_weight_follows_the_measured_cost",
+    ),
+    "F37 refuse large answers by the load of the own region": (
+        [
+            (
+                f"{DECISIONS}/fullregions.py",
+                "    return Placing.SPILL\n",
+                "    return Placing.SHED\n",
+            )
+        ],
+        f"{DECISIONS}/tests/test_fullregions.py"
+        "::test_nothing_is_refused_while_another_region_has_room",
+    ),
+    "F38 refuse callers before the first view": (
+        [
+            (
+                f"{FRONT}/firstview.py",
+                "wait_s = first_request_wait(",
+                "wait_s = 0.0 * first_request_wait(",
+            )
+        ],
+        f"{FRONT}/tests/test_first_view.py"
+        "::test_requests_of_a_returning_fleet_are_served_after_the_first_view",
+    ),
 }
 
 
