Keep the followers of relays that lose the store for a moment

Cause: when the store cuts all watches and drops its history, each relay answered the followers that wait for its updates with 503 at once.

Change: an instance that lost the store keeps its followers for 0.6 s; a watch that was cut is repeated, and the view read, within that time. Longer losses end the following as before.

Ruled out: reading the view from copies of the store, which are seconds behind just then.

Figures: test_relaysync.py, 3 new tests failed before, pass now; 39 integration tests of relays, watches, store and regions pass.

--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import math
 import time
 import urllib.parse
 
@@ -18,11 +20,17 @@
 from flamingolift_front.viewupdates import decode_update, encode_update
 
 __all__ = [
+    "RELAY_GRACE_S",
     "apply_update",
     "fetch_update",
     "serve_view",
 ]
 
+RELAY_GRACE_S = 0.6
+"""Time for which an instance that lost the store keeps the peers that wait for its
+updates (s): a watch that was cut is repeated and the view read within that time. All
+relays lose their watches at once when the store does, and all followers of a region
+would read the store instead."""
 RESPONSE_TIMEOUT_S = 0.8
 """Longest time for a peer's response beyond the wait that it was granted (s)."""
 TRANSFER_IDLE_S = 1.0
@@ -48,7 +56,8 @@
 
     Returns:
         HttpResponse with the update; status 503 to a peer that long-polls while the
-        store is unavailable to this instance or the instance is stopping.
+        store has been unavailable to this instance for `RELAY_GRACE_S`, or the
+        instance is stopping.
     """
     query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query))
     after = _int_parameter(query, "after", -1)
@@ -56,7 +65,7 @@
     view = front.view
     if wait_s and view.revision is not None and view.revision <= after:
         await _wait_for_change(view, after, wait_s)
-    if wait_s and (view.store_failed_at is not None or front.stopping):
+    if wait_s and (_grace_left(view) <= 0.0 or front.stopping):
         return problem_response(
             Fault(ResultCode.STORE_UNAVAILABLE, "no updates to relay")
         )
@@ -90,14 +99,21 @@
 
 
 async def _wait_for_change(view, after, wait_s):
-    try:
-        async with asyncio.timeout(wait_s):
-            while view.revision is not None and view.revision <= after:
-                if view.store_failed_at is not None:
-                    return
+    deadline = time.monotonic() + wait_s
+    while view.revision is not None and view.revision <= after:
+        remaining_s = min(deadline - time.monotonic(), _grace_left(view))
+        if remaining_s <= 0.0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(remaining_s):
                 await view.changed.wait()
-    except TimeoutError:
-        return
+
+
+def _grace_left(view):
+    """Returns for how long peers are still kept without the store (s)."""
+    if view.store_failed_at is None:
+        return math.inf
+    return view.store_failed_at + RELAY_GRACE_S - time.monotonic()
 
 
 async def fetch_update(front, link, wait_s, max_bytes=0, on_progress=None):
--- a/packages/front/src/flamingolift_front/tests/test_relaysync.py
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -1,6 +1,7 @@
 """How a follower chooses the relay that sends it an announced update."""
 
 import asyncio
+import time
 
 import pytest
 from flamingolift_decisions.hashing import rendezvous_order
@@ -8,6 +9,8 @@
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.lookups import serve_control
+from flamingolift_front.peersync import RELAY_GRACE_S
+from flamingolift_front.state import notify_change
 from flamingolift_front.viewsync import apply_changes
 from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
 from frontviews import make_entry, make_policy
@@ -225,3 +228,44 @@
     await wait_for_revision(follower, 12)
     assert not follow.done()
     assert [len(relay.transfers()) for relay in relays] == [2, 0, 0]
+
+
+async def lose_store(relays, for_s):
+    """Lets all relays lose the store for a time, as when it cuts all watches."""
+    for relay in relays:
+        relay.front.view.store_failed_at = time.monotonic()
+        notify_change(relay.front.view)
+    await asyncio.sleep(for_s)
+    for relay in relays:
+        relay.front.view.store_failed_at = None
+
+
+# Guards against a herd at the store: when it cut the relays' watches and dropped its
+# history, all 195 instances of a fleet read the whole view from it, though their relays
+# had it again a moment later.
+async def test_followers_keep_relays_that_lose_the_store_for_a_moment(region, change):
+    follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    await lose_store(relays, RELAY_GRACE_S / 2)
+    await publish(relays, change, 2)
+    await wait_for_revision(follower, 11)
+    assert not follow.done()
+    # An update that comes during the loss is passed on too.
+    for relay in relays:
+        relay.front.view.store_failed_at = time.monotonic()
+    await publish(relays, change, 2, revision=12)
+    await wait_for_revision(follower, 12, RELAY_GRACE_S)
+
+
+@pytest.mark.parametrize("losses", [1, 2])
+async def test_followers_leave_relays_that_lost_the_store_for_longer(region, losses):
+    _follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    for _loss in range(losses - 1):
+        await lose_store(relays, RELAY_GRACE_S / 2)
+    started = time.monotonic()
+    lost = asyncio.ensure_future(lose_store(relays, 4 * RELAY_GRACE_S))
+    end = await asyncio.wait_for(follow, 4.0)
+    assert end is relaysync.FollowingEnd.RELAYS_FAILED
+    assert RELAY_GRACE_S <= time.monotonic() - started <= RELAY_GRACE_S + 0.5
+    lost.cancel()
