--- a/packages/front/src/flamingolift_front/attempts.py
+++ b/packages/front/src/flamingolift_front/attempts.py
@@ -23,7 +23,16 @@
 
 
 async def send_attempt(front, req, route, trace, backend, rank, deadline):
-    """Sends a request to one server.
+    """Sends a request to one server and records how that ended.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        route: Route of the request.
+        trace: Trace of the request, to which the send is added.
+        backend: Backend.
+        rank: Place of the server in the object's order.
+        deadline: Time at which the caller or the route stops waiting (s, monotonic).
 
     Returns:
         Tuple of an Outcome and a ForwardedResponse, which is None when there is no
--- a/packages/front/src/flamingolift_front/tries.py
+++ b/packages/front/src/flamingolift_front/tries.py
@@ -60,7 +60,14 @@
 
 
 def may_retry(front, trace, deadline, now):
-    """Returns whether the deadline and the retry budget allow another send."""
+    """Returns whether the deadline and the retry budget allow another send.
+
+    Args:
+        front: Front.
+        trace: Trace of the request, in which a spent budget is noted.
+        deadline: Time at which the caller or the route stops waiting (s, monotonic).
+        now: Current time (s, monotonic).
+    """
     if deadline - now < MIN_ATTEMPT_S:
         return False
     if not is_repeat(trace):
@@ -72,7 +79,13 @@
 
 
 def usable_servers(front, route, trace):
-    """Returns the function of a Backend that tells whether a request may use it."""
+    """Returns the function of a Backend that tells whether a request may use it.
+
+    Args:
+        front: Front.
+        route: Route of the request.
+        trace: Trace of the request.
+    """
     if not may_connect(front, trace.service):
         now = time.monotonic()
         return lambda backend: (
@@ -92,7 +105,19 @@
 
 
 def pick_server(front, req, route, trace, now, may_use):
-    """Returns the Backend for the next send, or None, and its rank."""
+    """Picks the server for the next send of a request.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        route: Route of the request.
+        trace: Trace of the request.
+        now: Current time (s, monotonic).
+        may_use: Function of a Backend; returns whether it may be picked.
+
+    Returns:
+        Tuple of the Backend, or None, and its place in the object's order.
+    """
     view, region = front.view.backends, front.cfg.region
     costs = regioncost.learn_route(
         front.region_costs, route.name, view, trace.service, region, now
