Use one median of recent times, one list of usable servers and one draw of the excess

Cause, found on reading the whole change: regioncost.py had written the last times and their median again that attempttimeout.py has; fullregions.py the servers that a route may use, and the draw of the share above the full load; each look-up grouped all instances by region once more, only to see whether there is one; five test modules built the same entries and routes.

Change: recenttimes.py, backends.usable_backends, admission.is_excess, and serverviews.py for the tests serve both sides; a look-up stops at the first live instance. Behaviour, bounds and assertions stay; two assertions read the times through their new attribute.

Conclusion: the same decisions from fewer pieces.

--- a/packages/decisions/src/flamingolift_decisions/admission.py
+++ b/packages/decisions/src/flamingolift_decisions/admission.py
@@ -8,7 +8,7 @@
 from flamingolift_decisions.affinity import QUEUE_PER_SLOT
 from flamingolift_decisions.loads import mean_load
 
-__all__ = ["FULL_LOAD", "refused_share", "should_shed"]
+__all__ = ["FULL_LOAD", "is_excess", "refused_share", "should_shed"]
 
 FULL_LOAD = 1.0 + QUEUE_PER_SLOT
 """Mean load at which the queues of a service have reached their largest length
@@ -35,6 +35,17 @@
     return max(0.0, 1.0 - FULL_LOAD / load) if load > 0.0 else 0.0
 
 
+def is_excess(view, load):
+    """Returns whether a new request is drawn from the share above the full load.
+
+    Args:
+        view: BackendView, whose random numbers are used.
+        load: Mean load of the servers that may take it (ratio to their slots).
+    """
+    share = refused_share(load)
+    return share > 0.0 and view.rng.random() < share
+
+
 def should_shed(view, service, now):
     """Returns whether to keep a new request away from servers that name no limit.
 
@@ -45,5 +56,4 @@
         service: Service name.
         now: Current time (s, monotonic).
     """
-    share = refused_share(mean_load(view, service, now))
-    return share > 0.0 and view.rng.random() < share
+    return is_excess(view, mean_load(view, service, now))
--- a/packages/decisions/src/flamingolift_decisions/backends.py
+++ b/packages/decisions/src/flamingolift_decisions/backends.py
@@ -12,7 +12,7 @@
 
 from expression import Nothing, Option, Some
 
-from flamingolift_decisions.availability import is_in_use, why_unused
+from flamingolift_decisions.availability import is_in_use
 
 __all__ = [
     "Backend",
@@ -30,6 +30,7 @@
     "record_timeout",
     "remove_entry",
     "suspend_backend",
+    "usable_backends",
 ]
 
 SUSPENSION_BASE_S = 0.5
@@ -277,6 +278,22 @@
     return now < backend.cold_until or now < backend.trial_until
 
 
+def usable_backends(view, service, route, now):
+    """Yields the servers that a route may use now, cold ones too.
+
+    Args:
+        view: BackendView.
+        service: Service name.
+        route: Route of the request.
+        now: Current time (s, monotonic).
+    """
+    homes = route.home_regions
+    for backend in view.by_service.get(service, ()):
+        is_home = not homes or backend.entry.region in homes
+        if is_home and is_in_use(view, backend, now):
+            yield backend
+
+
 def eligible_backends(view, service, route, now):
     """Lists the servers that may take a request now.
 
@@ -291,12 +308,8 @@
         next request is due. Servers that are withheld because of their limit are
         among them.
     """
-    warm, cold, homes = [], [], route.home_regions
-    for backend in view.by_service.get(service, ()):
-        if homes and backend.entry.region not in homes:
-            continue
-        if why_unused(view, backend, now) is not None:
-            continue
+    warm, cold = [], []
+    for backend in usable_backends(view, service, route, now):
         if not is_cold(backend, now):
             warm.append(backend)
         elif now >= backend.next_cold_request_at:
--- a/packages/decisions/src/flamingolift_decisions/fullregions.py
+++ b/packages/decisions/src/flamingolift_decisions/fullregions.py
@@ -7,9 +7,9 @@
 
 import enum
 
-from flamingolift_decisions.admission import refused_share, should_shed
+from flamingolift_decisions.admission import is_excess, should_shed
 from flamingolift_decisions.affinity import BUSY_LOAD
-from flamingolift_decisions.availability import why_unused
+from flamingolift_decisions.backends import usable_backends
 from flamingolift_decisions.loads import other_regions_load, region_load
 
 __all__ = ["Placing", "place_request"]
@@ -43,21 +43,10 @@
     """
     if not route.bulk:
         return Placing.SHED if should_shed(view, service, now) else Placing.ANY
-    share = refused_share(region_load(view, service, region, now))
-    if share <= 0.0 or view.rng.random() >= share:
+    if not is_excess(view, region_load(view, service, region, now)):
         return Placing.ANY
     if other_regions_load(view, service, region, now) >= BUSY_LOAD:
         return Placing.SHED
-    if not _has_server_elsewhere(view, service, route, region, now):
-        return Placing.SHED
-    return Placing.SPILL
-
-
-def _has_server_elsewhere(view, service, route, region, now):
-    homes = route.home_regions
-    return any(
-        backend.entry.region != region
-        and (not homes or backend.entry.region in homes)
-        and why_unused(view, backend, now) is None
-        for backend in view.by_service.get(service, ())
-    )
+    usable = usable_backends(view, service, route, now)
+    has_others = any(backend.entry.region != region for backend in usable)
+    return Placing.SPILL if has_others else Placing.SHED
--- a/packages/decisions/src/flamingolift_decisions/regioncost.py
+++ b/packages/decisions/src/flamingolift_decisions/regioncost.py
@@ -5,10 +5,8 @@
 servers of the region that asks for it.
 """
 
-import collections
-import statistics
-
 from flamingolift_decisions.loads import region_load
+from flamingolift_decisions.recenttimes import RecentTimes, median_time, record_time
 
 __all__ = [
     "CACHED_COST",
@@ -53,10 +51,6 @@
 STEP_MARGIN = 0.75
 """Distance from the weight in use at which it is changed (steps), so that noise in the
 measured times does not move requests to and fro."""
-RECENT_TIMES = 31
-"""Number of latest times in a median; odd, so that the median is one of them."""
-MIN_TIMES = 8
-"""Smallest number of times from which a median is calculated."""
 MAX_ROUTES = 4096
 """Number of routes above which what was learnt is dropped."""
 
@@ -65,8 +59,8 @@
     """What is known of one route's work.
 
     Attributes:
-        cached: Deque of the last times of work on objects that the server is assumed
-            to have cached (s).
+        cached: RecentTimes of work on objects that the server is assumed to have
+            cached.
         uncached: The same for other objects (s).
         regions: Map of region to the cost of a server there (ratio).
         steps: Map of region to the steps of its weight; regions at 0 are left out.
@@ -77,8 +71,8 @@
     __slots__ = ("cached", "regions", "stepped_at", "steps", "steps_key", "uncached")
 
     def __init__(self):
-        self.cached = collections.deque(maxlen=RECENT_TIMES)
-        self.uncached = collections.deque(maxlen=RECENT_TIMES)
+        self.cached = RecentTimes()
+        self.uncached = RecentTimes()
         self.regions = {}
         self.steps = {}
         self.steps_key = ()
@@ -93,7 +87,7 @@
     """Times that one instance has measured.
 
     Attributes:
-        connects: Map of region to a deque of the last times of a connect (s).
+        connects: Map of region to the RecentTimes of a connect.
         routes: Map of route name to RouteCosts.
     """
 
@@ -112,10 +106,7 @@
         region: Region of the server.
         elapsed_s: Time until the connection was open (s).
     """
-    times = costs.connects.get(region)
-    if times is None:
-        times = costs.connects[region] = collections.deque(maxlen=RECENT_TIMES)
-    times.append(elapsed_s)
+    record_time(costs.connects.setdefault(region, RecentTimes()), elapsed_s)
 
 
 def round_trip(costs, region):
@@ -125,7 +116,8 @@
         costs: RegionCosts.
         region: Region of the servers.
     """
-    return _median(costs.connects.get(region, ()))
+    times = costs.connects.get(region)
+    return 0.0 if times is None else median_time(times)
 
 
 def record_work(costs, route, region, cached, round_trips, elapsed_s):
@@ -143,7 +135,7 @@
         costs.routes.clear()
     known = costs.routes.setdefault(route, RouteCosts())
     work_s = elapsed_s - round_trips * round_trip(costs, region)
-    (known.cached if cached else known.uncached).append(max(0.0, work_s))
+    record_time(known.cached if cached else known.uncached, max(0.0, work_s))
 
 
 def learn_route(costs, route, view, service, own_region, now):
@@ -221,8 +213,4 @@
 
 def _uncached_work(known):
     """Returns the time of work on an uncached object (s); 0 while it is unknown."""
-    return _median(known.uncached) or _median(known.cached) / CACHED_COST
-
-
-def _median(times):
-    return statistics.median(times) if len(times) >= MIN_TIMES else 0.0
+    return median_time(known.uncached) or median_time(known.cached) / CACHED_COST
--- a/packages/decisions/src/flamingolift_decisions/tests/test_affinity.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_affinity.py
@@ -1,23 +1,10 @@
 import collections
 
 from flamingolift_decisions import affinity, backends, evacuations, loads
-from flamingolift_model.plan import BackendEntry
-from flamingolift_model.routing import Evacuation, Route, ServiceSpec, WeightedService
+from flamingolift_model.routing import Evacuation, ServiceSpec
 from hypothesis import given
 from hypothesis import strategies as st
-
-
-def make_entry(number, **changes):
-    fields = {
-        "server_id": f"s{number}",
-        "service": "maps",
-        "region": f"r{number % 3}",
-        "failure_domain": f"d{number % 3}",
-        "host": "127.0.0.1",
-        "port": 8000 + number,
-        "slots": 3,
-    }
-    return BackendEntry(**{**fields, **changes})
+from serverviews import make_entry, make_route
 
 
 def make_view(count, **changes):
@@ -27,18 +14,6 @@
     return view
 
 
-def make_route(**changes):
-    fields = {
-        "name": "maps",
-        "host": "h",
-        "prefix": "/",
-        "services": [WeightedService(service="maps", weight=1.0)],
-        "idempotent": True,
-        "timeout_ms": 1000.0,
-    }
-    return Route(**{**fields, **changes})
-
-
 def choose(view, key, now=1.0, bulk=False, region="r0"):
     cache = affinity.AffinityCache()
     route = make_route(bulk=bulk)
--- a/packages/decisions/src/flamingolift_decisions/tests/test_backends.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_backends.py
@@ -3,9 +3,9 @@
 import time
 
 from flamingolift_decisions import backends
-from flamingolift_model.plan import BackendEntry
 from hypothesis import given
 from hypothesis import strategies as st
+from serverviews import make_entry
 
 SMALL, LARGE = 500, 4000
 """Servers of a small and of a large fleet."""
@@ -13,21 +13,14 @@
 """Time for each server there, relative to that in the small fleet (ratio)."""
 
 
-def make_entry(number, service="maps", port=0):
-    return BackendEntry(
-        server_id=f"s{number:05}",
-        service=service,
-        region="r0",
-        failure_domain="d0",
-        host="127.0.0.1",
-        port=port or 8000 + number,
-        slots=3,
-    )
+def make_ordered_entry(number, **changes):
+    """Returns an entry whose id sorts like its number."""
+    return make_entry(number, server_id=f"s{number:05}", **changes)
 
 
 def apply_time_s(count):
     """Returns the processor time for the entries of a fleet, in the order of a read."""
-    entries = [make_entry(n, f"service-{n % 4}") for n in range(count)]
+    entries = [make_ordered_entry(n, service=f"service-{n % 4}") for n in range(count)]
     started = time.process_time()
     view = backends.BackendView()
     for entry in entries:
@@ -61,7 +54,7 @@
         generation, before = view.generation, set(view.backends)
         known = {name: list(servers) for name, servers in view.by_service.items()}
         if action == "apply":
-            entry = make_entry(number, service, 9000 + moved)
+            entry = make_ordered_entry(number, service=service, port=9000 + moved)
             backends.apply_entry(view, entry, 0.0)
         else:
             backends.remove_entry(view, f"s{number:05}")
@@ -78,9 +71,9 @@
 def test_list_that_is_being_read_stays_as_it_is():
     view = backends.BackendView()
     for number in (1, 3):
-        backends.apply_entry(view, make_entry(number), 0.0)
+        backends.apply_entry(view, make_ordered_entry(number), 0.0)
     read = view.by_service["maps"]
-    backends.apply_entry(view, make_entry(2), 0.0)
+    backends.apply_entry(view, make_ordered_entry(2), 0.0)
     backends.remove_entry(view, "s00001")
     assert [b.entry.server_id for b in read] == ["s00001", "s00003"]
     assert [b.entry.server_id for b in view.by_service["maps"]] == ["s00002", "s00003"]
--- a/packages/decisions/src/flamingolift_decisions/tests/test_fullregions.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_fullregions.py
@@ -3,27 +3,13 @@
 import pytest
 from flamingolift_decisions import affinity, backends, loads
 from flamingolift_decisions.fullregions import Placing, place_request
-from flamingolift_model.plan import BackendEntry
-from flamingolift_model.routing import Route, WeightedService
+from serverviews import make_entry, make_route
 
 REQUESTS = 600
 SLOTS = 6
 NOW = 10.0
 
 
-def make_route(bulk=True, home_regions=()):
-    return Route(
-        name="maps",
-        host="h",
-        prefix="/",
-        services=[WeightedService(service="maps", weight=1.0)],
-        idempotent=True,
-        timeout_ms=1000.0,
-        bulk=bulk,
-        home_regions=list(home_regions),
-    )
-
-
 def make_view(own_load, other_load=None, own=2, others=12):
     """Returns a view of few servers in the own region and many in another one.
 
@@ -34,15 +20,8 @@
     view = backends.BackendView()
     for number in range(own + others):
         is_own = number < own
-        entry = BackendEntry(
-            server_id=f"s{number}",
-            service="maps",
-            region="near" if is_own else "far",
-            failure_domain="d0",
-            host="127.0.0.1",
-            port=8000 + number,
-            slots=SLOTS,
-        )
+        region = "near" if is_own else "far"
+        entry = make_entry(number, region=region, slots=SLOTS)
         backends.apply_entry(view, entry, 0.0)
         load = own_load if is_own else other_load
         if load is not None:
@@ -84,23 +63,25 @@
 @pytest.mark.parametrize("own_load", [2.5, 4.0, 5.0])
 @pytest.mark.parametrize("other_load", [None, 0.2, 0.8])
 def test_nothing_is_refused_while_another_region_has_room(own_load, other_load):
-    refused, far = run(make_view(own_load, other_load), make_route())
+    refused, far = run(make_view(own_load, other_load), make_route(bulk=True))
     assert refused == 0.0
     assert far >= 1.0 - 2.0 / own_load - 0.08
 
 
 @pytest.mark.parametrize("own_load", [0.0, 0.5, 0.9])
 def test_large_answers_stay_in_a_region_that_has_room(own_load):
-    assert run(make_view(own_load), make_route()) == (0.0, 0.0)
+    assert run(make_view(own_load), make_route(bulk=True)) == (0.0, 0.0)
 
 
 def test_all_regions_that_are_full_shed_the_excess():
-    refused, _far = run(make_view(4.0, 4.0), make_route())
+    refused, _far = run(make_view(4.0, 4.0), make_route(bulk=True))
     assert refused >= 0.42
 
 
 def test_home_regions_hold_while_they_are_full():
-    refused, far = run(make_view(4.0, 0.0), make_route(home_regions=["near"]))
+    refused, far = run(
+        make_view(4.0, 0.0), make_route(bulk=True, home_regions=["near"])
+    )
     assert refused >= 0.42 and far == 0.0
 
 
@@ -112,5 +93,5 @@
 
 
 def test_region_without_servers_of_its_own_is_served_by_others():
-    refused, far = run(make_view(0.0, 0.5, own=0), make_route())
+    refused, far = run(make_view(0.0, 0.5, own=0), make_route(bulk=True))
     assert (refused, far) == (0.0, 1.0)
--- a/packages/decisions/src/flamingolift_decisions/tests/test_large_fleet.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_large_fleet.py
@@ -5,8 +5,8 @@
 
 import pytest
 from flamingolift_decisions import affinity, backends, regioncost, windowbudget
-from flamingolift_model.plan import BackendEntry
-from flamingolift_model.routing import Route, ServiceSpec, WeightedService
+from flamingolift_model.routing import ServiceSpec
+from serverviews import make_entry, make_route
 
 FLEETS = [30, 195, 300]
 """Instances of a fleet."""
@@ -18,31 +18,11 @@
 """Length of such a window (s)."""
 
 
-def make_entry(number, region="r0", **fields):
-    return BackendEntry(
-        server_id=f"s{number}",
-        service="maps",
-        region=region,
-        failure_domain="d0",
-        host="127.0.0.1",
-        port=8000 + number,
-        slots=6,
-        **fields,
-    )
-
-
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("instances", FLEETS)
 def test_cold_server_gets_no_more_than_its_rate(instances, seed):
     per_s, overage, slack = 2.0, 1.5, 10.0
-    route = Route(
-        name="maps",
-        host="h",
-        prefix="/",
-        services=[WeightedService(service="maps", weight=1.0)],
-        idempotent=True,
-        timeout_ms=1000.0,
-    )
+    route = make_route()
     sent = []
     for number in range(instances):
         view = backends.BackendView(random.Random(seed * 1000 + number))
@@ -90,7 +70,7 @@
 def test_region_of_a_route_changes_slowly_when_its_work_does(instances, change):
     view, rng = backends.BackendView(), random.Random(instances)
     for number in range(30):
-        backends.apply_entry(view, make_entry(number, f"r{number % 3}"), 0.0)
+        backends.apply_entry(view, make_entry(number), 0.0)
     learnt = [regioncost.RegionCosts() for _n in range(instances)]
     caches = [affinity.AffinityCache() for _n in range(instances)]
 
--- a/packages/decisions/src/flamingolift_decisions/tests/test_regioncost.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_regioncost.py
@@ -15,7 +15,7 @@
     STEPS_PER_DOUBLING,
     RegionCosts,
 )
-from flamingolift_model.plan import BackendEntry
+from serverviews import make_entry
 
 REGIONS = ("r0", "r1", "r2")
 SERVERS = 30
@@ -32,15 +32,8 @@
 def make_view(servers=SERVERS, regions=REGIONS):
     view = backends.BackendView()
     for number in range(servers):
-        entry = BackendEntry(
-            server_id=f"s{number}",
-            service="maps",
-            region=regions[number % len(regions)],
-            failure_domain=f"d{number % len(regions)}",
-            host="127.0.0.1",
-            port=8000 + number,
-            slots=4,
-        )
+        region = regions[number % len(regions)]
+        entry = make_entry(number, region=region, slots=4)
         backends.apply_entry(view, entry, 0.0)
     return view
 
--- a/packages/front/src/flamingolift_front/attempts.py
+++ b/packages/front/src/flamingolift_front/attempts.py
@@ -10,6 +10,7 @@
     loads,
     windowbudget,
 )
+from flamingolift_decisions.recenttimes import median_time
 
 from flamingolift_front import crashwatch
 from flamingolift_front.eventlog import log_event
@@ -111,7 +112,7 @@
         id=req.request_id,
         server=backend.entry.server_id,
         waited_ms=round((time.monotonic() - started) * 1000.0, 1),
-        usual_ms=round(attempttimeout.median_answer_time(times) * 1000.0, 1),
+        usual_ms=round(median_time(times) * 1000.0, 1),
     )
     return Outcome.OVERDUE, None
 
@@ -127,7 +128,7 @@
         return False
     if crashwatch.hold_of(front, req) is not None:
         return False
-    if deadline - now < attempttimeout.median_answer_time(times):
+    if deadline - now < median_time(times):
         return False
     budget = retry_budget_for(front, trace.service)
     instances = front.view.backends.instances
--- a/packages/front/src/flamingolift_front/firstview.py
+++ b/packages/front/src/flamingolift_front/firstview.py
@@ -6,8 +6,6 @@
 
 from flamingolift_decisions.fleetreturn import first_lookup_wait, first_request_wait
 
-from flamingolift_front.state import live_instances
-
 __all__ = ["wait_for_instances", "wait_for_policy"]
 
 
@@ -35,7 +33,11 @@
         Whether live instances are known.
     """
     wait_s = first_lookup_wait(front.started_at, time.monotonic())
-    return await _wait_for(front.view, lambda: bool(live_instances(front.view)), wait_s)
+    return await _wait_for(front.view, lambda: _has_live_instance(front.view), wait_s)
+
+
+def _has_live_instance(view):
+    return any(entry.state == "live" for entry in view.instances.values())
 
 
 async def _wait_for(view, is_known, wait_s):
--- a/packages/front/src/flamingolift_front/sendresults.py
+++ b/packages/front/src/flamingolift_front/sendresults.py
@@ -2,7 +2,8 @@
 
 import time
 
-from flamingolift_decisions import attempttimeout, backends, loads, regioncost
+from flamingolift_decisions import backends, loads, regioncost
+from flamingolift_decisions.recenttimes import record_time
 
 from flamingolift_front import httpcall, limitgrants, servernotices, serverpool
 from flamingolift_front.eventlog import log_event
@@ -38,9 +39,7 @@
     send.elapsed_ms = round(elapsed_s * 1000.0, 1)
     trace.sends.append(send)
     if send.outcome is Outcome.ANSWERED:
-        attempttimeout.record_answer_time(
-            response_times_for(front, trace.route), elapsed_s
-        )
+        record_time(response_times_for(front, trace.route), elapsed_s)
         regioncost.record_work(
             front.region_costs,
             trace.route,
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -7,9 +7,9 @@
 import time
 
 from flamingolift_decisions.affinity import AffinityCache
-from flamingolift_decisions.attempttimeout import AnswerTimes
 from flamingolift_decisions.backends import BackendView
 from flamingolift_decisions.instancecount import InstanceCount
+from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
 from flamingolift_decisions.serverpaths import ServerPaths
 from flamingolift_decisions.windowbudget import WindowBudget
@@ -218,7 +218,7 @@
         pool: ServerPool.
         affinity_cache: AffinityCache.
         region_costs: RegionCosts.
-        response_times: Map of route name to AnswerTimes.
+        response_times: Map of route name to the RecentTimes of its answers.
         paths: ServerPaths of all signs of a path to a server.
         connects: ServerPaths of connects alone.
         helpers: Helpers.
@@ -313,12 +313,12 @@
 
 
 def response_times_for(front, route_name):
-    """Returns the AnswerTimes of a route."""
+    """Returns the RecentTimes of a route's answers."""
     times = front.response_times.get(route_name)
     if times is None:
         if len(front.response_times) >= MAX_TIMED_ROUTES:
             front.response_times.clear()
-        times = front.response_times[route_name] = AnswerTimes()
+        times = front.response_times[route_name] = RecentTimes()
     return times
 
 
--- a/packages/front/src/flamingolift_front/tests/test_region_costs.py
+++ b/packages/front/src/flamingolift_front/tests/test_region_costs.py
@@ -14,10 +14,10 @@
         for number in range(REQUESTS):
             await fetch(site, number=number)
         costs, own = site.front.region_costs, site.front.cfg.region
-        assert len(costs.connects[own]) == site.front.pool.opened
+        assert len(costs.connects[own].recent) == site.front.pool.opened
         known = costs.routes["maps"]
         # These requests name no object that a server could have cached.
-        assert len(known.uncached) == REQUESTS and not known.cached
+        assert len(known.uncached.recent) == REQUESTS and not known.cached.recent
 
 
 async def test_explanation_names_a_region_that_weighs_less():
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -455,8 +455,8 @@
         [
             (
                 f"{DECISIONS}/fullregions.py",
-                "    return Placing.SPILL\n",
-                "    return Placing.SHED\n",
+                "return Placing.SPILL if has_others else Placing.SHED",
+                "return Placing.SHED",
             )
         ],
         f"{DECISIONS}/tests/test_fullregions.py"
