--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -404,7 +404,7 @@
         await asyncio.sleep(0.1)
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def put_config(self, version, routes, services):
+    def put_config(self, version, routes, services, limits=()):
         """Writes a configuration; `routes` are rows of `ROUTE_COLUMNS`."""
         columns = ["name", "health_path", "max_conns", "cold_period", "cold_per_s"]
         rows = [[name, "/health", 660, "3s", 5.6] for name in services]
@@ -419,6 +419,7 @@
                     "max_body_bytes": 1048576,
                     "header_timeout": "3s",
                     "idle_timeout": "15s",
+                    **dict(limits),
                 },
             },
         )
