--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -63,7 +63,9 @@
 value_bytes = 1048576
 ttl_min = "1000ms"
 [terms]
-contracts = ["base", "drain", "config", "cost", "retry", "recover", "places", "platform"]
+contracts = [
+    "base", "drain", "config", "cost", "retry", "recover", "places", "platform",
+]
 [terms.fault_tolerance]
 machines = 2
 zones = 1
@@ -354,12 +356,20 @@
                     f"Instance-Id: {self.server_id}",
                     "Keep-Alive: timeout=10",
                 ]
-                answer = f"{self.server_id} did {request_id} of {len(body)}"
-                writer.write(_message(200, fields, answer.encode()))
-                await writer.drain()
+                answer = self.answer_body(request_id, body)
+                await self.send_answer(writer, _message(200, fields, answer))
         self.writers.discard(writer)
         writer.close()
 
+    def answer_body(self, request_id, body):
+        """Returns the body of an answer."""
+        return f"{self.server_id} did {request_id} of {len(body)}".encode()
+
+    async def send_answer(self, writer, message):
+        """Sends an answer."""
+        writer.write(message)
+        await writer.drain()
+
 
 def _message(status, fields, body):
     lines = [f"HTTP/1.1 {status} X", *fields, f"Content-Length: {len(body)}"]
@@ -424,9 +434,11 @@
             },
         )
 
-    async def add_server(self, server_id, service, work_s=lambda path: 0.05):
+    async def add_server(
+        self, server_id, service, work_s=lambda path: 0.05, server_class=Server
+    ):
         """Starts and registers a server."""
-        server = Server(self.store, self.record, server_id, service, work_s)
+        server = server_class(self.store, self.record, server_id, service, work_s)
         await server.start()
         self.servers.append(server)
         return server
--- a/review/2/case.py
+++ b/review/t2/case.py
@@ -99,9 +99,10 @@
             if len(caller.answers) < len(caller.names) and late:
                 name = caller.names[2]
                 ran = "ran" if name in booked else "did not run"
+                open_s = caller.closed_at - caller.sent_at
                 record.write(
                     f"{name} was read and got no answer; it {ran}; its connection"
-                    f" ended {caller.closed_at - caller.sent_at:.2f} s after it was sent"
+                    f" ended {open_s:.2f} s after it was sent"
                 )
                 lost += 1
         record.write(f"{lost} of {CONNECTIONS} bookings got no answer")
