--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -122,10 +123,16 @@
 
 
 def free_ports(count):
-    """Returns TCP ports of 127.0.0.1 that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
+    """Returns TCP ports of 127.0.0.1 that are free, below those of outgoing calls."""
+    sockets = []
+    while len(sockets) < count:
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", random.randrange(15000, 32000)))
+        except OSError:
+            sock.close()
+            continue
+        sockets.append(sock)
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
         sock.close()
