--- a/packages/decisions/src/flamingolift_decisions/__init__.py
+++ b/packages/decisions/src/flamingolift_decisions/__init__.py
@@ -12,6 +12,7 @@
     "backends",
     "bookings",
     "budget",
+    "bytebudget",
     "crashrecord",
     "documents",
     "earlystarts",
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -8,6 +8,7 @@
 
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
+from flamingolift_decisions.bytebudget import ByteBudget
 from flamingolift_decisions.instancecount import InstanceCount
 from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
@@ -231,6 +232,7 @@
         grant_links: Map of (host, port) to a list of idle PeerLink to a grantor.
         failed_grantors: Map of instance id to the time until which it is not asked for
             grants (s, monotonic).
+        byte_budget: ByteBudget of what its buffers hold.
         rng: Random number generator for jitter.
         stopping: Whether the stop signal has arrived.
         exit_at: Time at which the process ends in a planned stop (s, monotonic);
@@ -242,6 +244,7 @@
 
     __slots__ = (
         "affinity_cache",
+        "byte_budget",
         "cfg",
         "connections",
         "connects",
@@ -292,6 +295,7 @@
         self.links = {}
         self.grant_links = {}
         self.failed_grantors = {}
+        self.byte_budget = ByteBudget()
         self.rng = random.Random()
         self.stopping = False
         self.exit_at = math.inf
