Replace early answers that broke off before their turn

At its turn an early answer is now read on as far as one that starts at its turn (1 MiB) before its first byte is passed on. Answers that are larger are streamed, and a break of one has to end the connection, so no request starts behind a route whose answers were streamed. The first streamed answer of a route may still take requests behind it along.

--- a/packages/decisions/src/flamingolift_decisions/earlystarts.py
+++ b/packages/decisions/src/flamingolift_decisions/earlystarts.py
@@ -1,8 +1,9 @@
 """Requests that callers send before the first answer: which of them start early.
 
-Answers leave in the order of the requests, and a caller sends again whatever stands
-behind an answer that closes the connection, of any kind. Only a request that may run
-twice is therefore sent to a server before its turn.
+Answers leave in the order of the requests. The end of a connection takes along the
+answers that wait for their turn, so that callers send those requests again. Only a
+request that may run twice is therefore sent to a server before its turn, and none
+behind an answer that is streamed: if that breaks off, the connection has to end.
 """
 
 __all__ = ["EARLY_ANSWER_BYTES", "may_read_ahead", "may_start_early"]
@@ -27,11 +28,14 @@
     return len(sizes) < MAX_REQUESTS_AHEAD and sum(sizes) < MAX_REQUEST_BYTES_AHEAD
 
 
-def may_start_early(route, stopping):
+def may_start_early(route, stopping, is_behind_stream):
     """Returns whether a request may be sent to a server before its turn.
 
     Args:
         route: Route of the request, or None when there is none.
-        stopping: Whether the instance stops: its next answer closes the connection.
+        stopping: Whether the instance stops: its connections close soon.
+        is_behind_stream: Whether an answer before its own is likely to be streamed.
     """
-    return route is not None and route.idempotent and not stopping
+    if stopping or is_behind_stream:
+        return False
+    return route is not None and route.idempotent
--- a/packages/front/src/flamingolift_front/answering.py
+++ b/packages/front/src/flamingolift_front/answering.py
@@ -14,6 +14,7 @@
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
+from flamingolift_front.state import note_streamed
 
 __all__ = [
     "cancelled_by_end",
@@ -107,6 +108,7 @@
     if forwarded.call is None:
         await send_response(front, conn, forwarded.response, req.method)
         return
+    note_streamed(front, conn.trace.route)
     cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
     outcome = Outcome.CANCELLED
     try:
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -290,3 +290,7 @@
     answering.log_request(front, req, trace, "answered", result.ok.response.status)
     await answering.relay_response(front, conn, req, result.ok)
     return "answered"
+            if trace.early and result.is_ok() and result.ok.call is not None:
+                result = await forwarding.read_early_answer(
+                    front, req, trace, result.ok
+                )
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -18,6 +18,7 @@
     "open_call",
     "parse_count",
     "parse_decimal",
+    "read_on",
     "read_response",
     "strip_hop_headers",
 ]
@@ -253,15 +254,30 @@
             break
         await _skip_response(call)
     response = HttpResponse(head.status_code, bytes(head.reason), headers)
-    body = bytearray()
+    await read_on(call, response, spool_bytes)
+    return response
+
+
+async def read_on(call, response, spool_bytes):
+    """Reads more of a response's body.
+
+    Args:
+        call: HttpCall.
+        response: HttpResponse that is not complete.
+        spool_bytes: Largest body that is buffered completely (bytes).
+
+    Raises:
+        InvalidResponseError: The response is malformed or cut short.
+        ConnectionError: The connection broke off.
+    """
+    body = bytearray(response.body)
     async for chunk in iter_body(call):
         body += chunk
         if len(body) > spool_bytes:
-            response.body = bytes(body)
-            return response
+            break
+    else:
+        response.complete = True
     response.body = bytes(body)
-    response.complete = True
-    return response
 
 
 async def iter_body(call):
--- a/packages/front/src/flamingolift_front/readahead.py
+++ b/packages/front/src/flamingolift_front/readahead.py
@@ -126,7 +126,8 @@
     req = exchange.received.ok
     exchange.size = len(req.body) + sum(len(n) + len(v) for n, v in req.headers)
     route = forwarding.find_route(front.view.table, req)
-    if earlystarts.may_start_early(route, front.stopping):
+    is_behind_stream = _is_behind_stream(front, conn, exchange)
+    if earlystarts.may_start_early(route, front.stopping, is_behind_stream):
         req.spool_bytes = earlystarts.EARLY_ANSWER_BYTES
         exchange.trace.early = True
         call = forwarding.forward(front, req, exchange.trace)
@@ -147,6 +148,15 @@
 async def stop_reading(conn):
     """Ends the task that reads requests before their turn.
 
+def _is_behind_stream(front, conn, exchange):
+    """Returns whether an answer before a request's own is likely to be streamed."""
+    if not front.streamed_routes:
+        return False
+    before = [e.received.ok for e in conn.ahead if e is not exchange]
+    routes = [forwarding.find_route(front.view.table, r) for r in (conn.req, *before)]
+    return any(r is not None and r.name in front.streamed_routes for r in routes)
+
+
     Args:
         conn: CallerConnection.
     """
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -28,6 +28,7 @@
     "View",
     "ViewChange",
     "live_instances",
+    "note_streamed",
     "notify_change",
     "response_times_for",
     "retry_budget_for",
@@ -220,6 +221,7 @@
         affinity_cache: AffinityCache.
         region_costs: RegionCosts.
         response_times: Map of route name to the RecentTimes of its answers.
+        streamed_routes: Set of the names of routes with answers that were streamed.
         paths: ServerPaths of all signs of a path to a server.
         connects: ServerPaths of connects alone.
         helpers: Helpers.
@@ -268,6 +270,7 @@
         "started_at",
         "stopping",
         "store",
+        "streamed_routes",
         "taken",
         "tasks",
         "view",
@@ -289,6 +292,7 @@
         self.affinity_cache = AffinityCache()
         self.region_costs = RegionCosts()
         self.response_times = {}
+        self.streamed_routes = set()
         self.retry_budgets = {}
         self.crashes = Crashes()
         self.connections = set()
@@ -326,6 +330,18 @@
     return times
 
 
+def note_streamed(front, route_name):
+    """Records that an answer of a route is streamed.
+
+    Args:
+        front: Front.
+        route_name: Name of the route.
+    """
+    if len(front.streamed_routes) >= MAX_TIMED_ROUTES:
+        front.streamed_routes.clear()
+    front.streamed_routes.add(route_name)
+
+
 def live_instances(view):
     """Returns the InstanceEntry objects that are not leaving, by region."""
     by_region = collections.defaultdict(list)
