Answer every request that was read before its connection ends

The same loss at the exit of the process and behind an error of our own, which answered the current request alone.

A stopping instance now announces the close behind the last request of which anything has arrived. All ends that the caller did not cause pass one place, _answer_unfinished: the current request and those behind it get, in order, the answer that is there, a refusal as not run, or a failure; only a streamed answer that has begun is cut, with its connection.

--- a/packages/front/src/flamingolift_front/answering.py
+++ b/packages/front/src/flamingolift_front/answering.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from flamingolift_front import bytestream, crashwatch, forwarding, httpcall
+from flamingolift_front import bytestream, crashwatch, forwarding, httpcall, readahead
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
@@ -205,9 +205,9 @@
 def _encode_head(front, conn, response, headers):
     """Encodes a response's head; announces the close while the instance stops.
 
-    Requests that were started early are answered before the close.
+    Requests that have arrived behind it are answered before the close.
     """
-    if front.stopping and all(exchange.task is None for exchange in conn.ahead):
+    if front.stopping and not readahead.has_requests_behind(conn):
         conn.closing = True
         headers.append((b"Connection", b"close"))
     head = h11.Response(
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -7,6 +7,7 @@
 import time
 
 import h11
+from expression import Error
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
 from flamingolift_front import answering, bytestream, forwarding, readahead
@@ -109,11 +110,16 @@
     An answer that waits in the send buffer as a whole is left to be sent.
     """
     for conn in list(front.connections):
-        is_unanswered = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        if conn.req is not None and is_unanswered:
+        if _is_unanswered(conn) or conn.ahead:
             conn.task.cancel()
 
 
+def _is_unanswered(conn):
+    """Returns whether the current request has no complete answer yet."""
+    states = (h11.SEND_RESPONSE, h11.SEND_BODY)
+    return conn.req is not None and conn.parser.our_state in states
+
+
 async def _serve(front, conn):
     """Serves requests until the connection ends."""
     cause = "idle"
@@ -151,10 +157,10 @@
 
 
 async def _answer_unfinished(front, conn, codes, cause):
-    """Tells a caller how a request ended that has no complete answer.
+    """Tells a caller how its requests ended that were read and have no answer.
 
-    The parser may be in a state in which it sends no more, so another one encodes the
-    answer.
+    Each end of a connection that its caller did not cause passes here. An answer that
+    has begun cannot be taken back, so that its connection is reset.
 
     Args:
         front: Front.
@@ -162,28 +168,70 @@
         codes: ResultCode of a request that did not run, and of one that may have run.
         cause: Why there is no answer of a server.
     """
-    if conn.req is None or conn.stream.ended or conn.stream.transport.is_closing():
+    if conn.stream.ended or conn.stream.transport.is_closing():
         return
-    if conn.responding:
+    if _is_unanswered(conn) and conn.responding:
         answering.cut_response(front, conn, conn.req, cause)
         return
-    if may_have_run(conn.trace):
-        fault = Fault(codes[1], f"{cause} during the request")
-    else:
-        fault = retryable_fault(front, codes[0], f"{cause} before a send")
-    conn.parser = _make_answering_parser(conn.req.method)
-    status = RESULT_CODE_INFO[fault.code].status
-    answering.log_request(front, conn.req, conn.trace, fault.code.name, status, cause)
-    front.metrics.request_ends.labels("refused").inc()
-    req, conn.req = conn.req, None
     with contextlib.suppress(ConnectionError):
-        await answering.send_response(front, conn, problem_response(fault), req.method)
+        if _is_unanswered(conn):
+            result = Error(_end_fault(front, conn.trace, codes, cause))
+            await _send_last(front, conn, conn.req, conn.trace, result)
+        conn.req = None
+        async for exchange in readahead.take_unanswered(front, conn):
+            await _answer_waiting(front, conn, exchange, codes, cause)
 
 
-def _make_answering_parser(method):
-    """Returns an h11 connection that has read a request and closes after the answer."""
+async def _answer_waiting(front, conn, exchange, codes, cause):
+    """Answers a request whose turn does not come any more."""
+    received, trace = exchange.received, exchange.trace
+    if received.is_error():
+        conn.parser = exchange.parser
+        await answering.send_response(front, conn, problem_response(received.error))
+        return
+    front.metrics.requests_read.inc()
+    result = await readahead.early_result(front, exchange)
+    if result is None:
+        result = Error(_end_fault(front, trace, codes, cause))
+    await _send_last(front, conn, received.ok, trace, result)
+
+
+def _end_fault(front, trace, codes, cause):
+    """Returns the Fault of a request that has no answer of a server."""
+    if may_have_run(trace):
+        return Fault(codes[1], f"{cause} during the request")
+    return retryable_fault(front, codes[0], f"{cause} before a send")
+
+
+async def _send_last(front, conn, req, trace, result):
+    """Sends the answer to one of a connection's last requests.
+
+    The parser of the request may be in a state in which it sends no more, so another
+    one encodes the answer. Only the last answer announces the close.
+    """
+    if result.is_ok():
+        response = result.ok.response
+        outcome, end, detail = "answered", "answered", ""
+    else:
+        response, detail = problem_response(result.error), result.error.detail
+        outcome, end = result.error.code.name, "refused"
+    conn.closing = not readahead.has_requests_behind(conn)
+    conn.parser = _make_answering_parser(req.method, conn.closing)
+    answering.log_request(front, req, trace, outcome, response.status, detail)
+    front.metrics.request_ends.labels(end).inc()
+    await answering.send_response(front, conn, response, req.method)
+
+
+def _make_answering_parser(method, closes):
+    """Returns an h11 connection that has read a request.
+
+    Args:
+        method: HTTP method of the request (bytes).
+        closes: Whether the answer announces the close of the connection.
+    """
     parser = h11.Connection(h11.SERVER)
-    parser.receive_data(method + b" / HTTP/1.1\r\nHost: -\r\nConnection: close\r\n\r\n")
+    field = b"Connection: close\r\n" if closes else b""
+    parser.receive_data(method + b" / HTTP/1.1\r\nHost: -\r\n" + field + b"\r\n")
     while not isinstance(parser.next_event(), h11.EndOfMessage):
         pass
     return parser
@@ -277,6 +325,10 @@
     try:
         with answering.cancelled_by_end(conn):
             result = await (exchange.task or forwarding.forward(front, req, trace))
+            if trace.early and result.is_ok() and result.ok.call is not None:
+                result = await forwarding.read_early_answer(
+                    front, req, trace, result.ok
+                )
     except asyncio.CancelledError:
         if conn.stream.ended:
             answering.log_request(front, req, trace, "caller_left", 0)
@@ -290,7 +342,3 @@
     answering.log_request(front, req, trace, "answered", result.ok.response.status)
     await answering.relay_response(front, conn, req, result.ok)
     return "answered"
-            if trace.early and result.is_ok() and result.ok.call is not None:
-                result = await forwarding.read_early_answer(
-                    front, req, trace, result.ok
-                )
--- a/packages/front/src/flamingolift_front/readahead.py
+++ b/packages/front/src/flamingolift_front/readahead.py
@@ -9,6 +9,7 @@
 
 from flamingolift_front import bytestream, forwarding
 from flamingolift_front.backgroundtasks import start_task
+from flamingolift_front.eventlog import log_event
 from flamingolift_front.requestreading import read_request
 from flamingolift_front.requesttrace import Trace
 from flamingolift_front.sending import Outcome
@@ -19,9 +20,12 @@
     "cancel_started",
     "drop_ahead",
     "drop_exchange",
+    "early_result",
+    "has_requests_behind",
     "next_exchange",
     "read_ahead",
     "stop_reading",
+    "take_unanswered",
 ]
 
 
@@ -46,6 +50,16 @@
         self.size = 0
 
 
+def has_requests_behind(conn):
+    """Returns whether requests, or parts of one, have arrived behind the current one.
+
+    Args:
+        conn: CallerConnection.
+    """
+    unread = conn.stream.buffer or conn.reading.trailing_data[0]
+    return bool(conn.ahead or conn.reader or unread)
+
+
 async def next_exchange(front, conn):
     """Returns the Exchange whose turn it is.
 
@@ -134,6 +148,15 @@
         exchange.task = start_task(front, call)
 
 
+def _is_behind_stream(front, conn, exchange):
+    """Returns whether an answer before a request's own is likely to be streamed."""
+    if not front.streamed_routes:
+        return False
+    before = [e.received.ok for e in conn.ahead if e is not exchange]
+    routes = [forwarding.find_route(front.view.table, r) for r in (conn.req, *before)]
+    return any(r is not None and r.name in front.streamed_routes for r in routes)
+
+
 def cancel_started(conn):
     """Cancels the requests that were sent to servers before their turn.
 
@@ -148,15 +171,6 @@
 async def stop_reading(conn):
     """Ends the task that reads requests before their turn.
 
-def _is_behind_stream(front, conn, exchange):
-    """Returns whether an answer before a request's own is likely to be streamed."""
-    if not front.streamed_routes:
-        return False
-    before = [e.received.ok for e in conn.ahead if e is not exchange]
-    routes = [forwarding.find_route(front.view.table, r) for r in (conn.req, *before)]
-    return any(r is not None and r.name in front.streamed_routes for r in routes)
-
-
     Args:
         conn: CallerConnection.
     """
@@ -165,6 +179,60 @@
         await asyncio.wait([conn.reader])
 
 
+async def take_unanswered(front, conn):
+    """Yields the requests that were read whole and wait for their turn, in order.
+
+    One that was started early and is still at work is cancelled. Requests that have
+    arrived and were not parsed yet are among them.
+
+    Args:
+        front: Front.
+        conn: CallerConnection whose current request has ended.
+
+    Yields:
+        Exchange; its task, if any, is done.
+    """
+    await stop_reading(conn)
+    while conn.ahead or await _read_arrived(front, conn):
+        exchange = conn.ahead.popleft()
+        if exchange.task is not None and not exchange.task.done():
+            await drop_exchange(front, exchange)
+        yield exchange
+        await asyncio.sleep(0)
+
+
+async def _read_arrived(front, conn):
+    """Reads one request that has arrived whole; returns whether there was one."""
+    if conn.closing or not _may_read(conn):
+        return False
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(0.0):
+            exchange = await _read_exchange(front, conn)
+        if exchange.received.is_error() or exchange.received.ok is not None:
+            conn.ahead.append(exchange)
+    return bool(conn.ahead)
+
+
+async def early_result(front, exchange):
+    """Returns the Result of a request that was started early, None without a whole one.
+
+    Args:
+        front: Front.
+        exchange: Exchange whose task, if any, is done.
+    """
+    if exchange.task is None or exchange.task.cancelled():
+        return None
+    exc = exchange.task.exception()
+    if exc is not None:
+        log_event(front.log, "task_failed", task="early request", cause=repr(exc))
+        return None
+    result = exchange.task.result()
+    if result.is_ok() and result.ok.call is not None:
+        await _settle(front, exchange)
+        return None
+    return result
+
+
 async def drop_ahead(front, conn):
     """Ends what stands behind the last answer; its caller sends it again.
 
