--- a/packages/front/src/flamingolift_front/answering.py
+++ b/packages/front/src/flamingolift_front/answering.py
@@ -8,12 +8,13 @@
 
 import h11
 
-from flamingolift_front import bytestream, crashwatch, forwarding, httpcall
+from flamingolift_front import bytestream, crashwatch, forwarding, httpcall, readahead
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
+from flamingolift_front.state import note_streamed
 
 __all__ = [
     "cancelled_by_end",
@@ -107,6 +108,7 @@
     if forwarded.call is None:
         await send_response(front, conn, forwarded.response, req.method)
         return
+    note_streamed(front, conn.trace.route)
     cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
     outcome = Outcome.CANCELLED
     try:
@@ -203,9 +205,9 @@
 def _encode_head(front, conn, response, headers):
     """Encodes a response's head; announces the close while the instance stops.
 
-    Requests that were started early are answered before the close.
+    Requests that have arrived behind it are answered before the close.
     """
-    if front.stopping and all(exchange.task is None for exchange in conn.ahead):
+    if front.stopping and not readahead.has_requests_behind(conn):
         conn.closing = True
         headers.append((b"Connection", b"close"))
     head = h11.Response(
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -8,6 +8,7 @@
 
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
+from flamingolift_decisions.bytebudget import ByteBudget
 from flamingolift_decisions.instancecount import InstanceCount
 from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
@@ -27,6 +28,7 @@
     "View",
     "ViewChange",
     "live_instances",
+    "note_streamed",
     "notify_change",
     "response_times_for",
     "retry_budget_for",
@@ -219,6 +221,7 @@
         affinity_cache: AffinityCache.
         region_costs: RegionCosts.
         response_times: Map of route name to the RecentTimes of its answers.
+        streamed_routes: Set of the names of routes with answers that were streamed.
         paths: ServerPaths of all signs of a path to a server.
         connects: ServerPaths of connects alone.
         helpers: Helpers.
@@ -231,6 +234,7 @@
         grant_links: Map of (host, port) to a list of idle PeerLink to a grantor.
         failed_grantors: Map of instance id to the time until which it is not asked for
             grants (s, monotonic).
+        byte_budget: ByteBudget of what its buffers hold.
         rng: Random number generator for jitter.
         stopping: Whether the stop signal has arrived.
         exit_at: Time at which the process ends in a planned stop (s, monotonic);
@@ -242,6 +246,7 @@
 
     __slots__ = (
         "affinity_cache",
+        "byte_budget",
         "cfg",
         "connections",
         "connects",
@@ -265,6 +270,7 @@
         "started_at",
         "stopping",
         "store",
+        "streamed_routes",
         "taken",
         "tasks",
         "view",
@@ -286,12 +292,14 @@
         self.affinity_cache = AffinityCache()
         self.region_costs = RegionCosts()
         self.response_times = {}
+        self.streamed_routes = set()
         self.retry_budgets = {}
         self.crashes = Crashes()
         self.connections = set()
         self.links = {}
         self.grant_links = {}
         self.failed_grantors = {}
+        self.byte_budget = ByteBudget()
         self.rng = random.Random()
         self.stopping = False
         self.exit_at = math.inf
@@ -322,6 +330,18 @@
     return times
 
 
+def note_streamed(front, route_name):
+    """Records that an answer of a route is streamed.
+
+    Args:
+        front: Front.
+        route_name: Name of the route.
+    """
+    if len(front.streamed_routes) >= MAX_TIMED_ROUTES:
+        front.streamed_routes.clear()
+    front.streamed_routes.add(route_name)
+
+
 def live_instances(view):
     """Returns the InstanceEntry objects that are not leaving, by region."""
     by_region = collections.defaultdict(list)
