--- a/tools/bite.py
+++ b/tools/bite.py
@@ -311,8 +311,8 @@
         [
             (
                 f"{FRONT}/bytestream.py",
-                "    return bool(stream.buffer) or stream.ended\n\n\ndef wake",
-                "    return loop_time() < ends_at\n\n\ndef wake",
+                "    return _is_readable(stream)\n\n\ndef hold_input",
+                "    return loop_time() < ends_at\n\n\ndef hold_input",
             ),
             (
                 f"{FRONT}/bytestream.py",
