Read the process's memory limit and derive the byte budget from it

Cause, first part: memory_mb of the platform's settings file was read by nobody, so that no part of the front knew how much it may hold.

Nothing draws on it yet.

--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -8,7 +8,7 @@
 
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
-from flamingolift_decisions.bytebudget import ByteBudget
+from flamingolift_decisions.bytebudget import budget_for
 from flamingolift_decisions.instancecount import InstanceCount
 from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
@@ -299,7 +299,7 @@
         self.links = {}
         self.grant_links = {}
         self.failed_grantors = {}
-        self.byte_budget = ByteBudget()
+        self.byte_budget = budget_for(cfg.memory_limit_mb)
         self.rng = random.Random()
         self.stopping = False
         self.exit_at = math.inf
--- a/packages/model/src/flamingolift_model/frontsettings.py
+++ b/packages/model/src/flamingolift_model/frontsettings.py
@@ -28,6 +28,7 @@
         peer_seeds: Peers to ask while no other instance is known, as host:port.
         domain_regions: Failure domain to its region.
         link_mbps: Bandwidth of the instance's link (Mbit/s); 0 when unknown.
+        memory_limit_mb: Memory that the process may use (MB); 0 when unknown.
         grace_s: Time from the stop signal to the forced stop (s).
         lookup_ttl_s: Time to live of a look-up in a caller's cache (s).
         retry_ratio: Retry budget: retries allowed for each request, over the whole fleet (ratio).
@@ -46,6 +47,7 @@
         "link_mbps",
         "lookup_port",
         "lookup_ttl_s",
+        "memory_limit_mb",
         "metrics_port",
         "peer_port",
         "peer_seeds",
@@ -69,6 +71,7 @@
         Field("peer_seeds", "list[str]", default=[], max=64),
         Field("domain_regions", "map[str]", max=1024),
         Field("link_mbps", "float", default=0.0, min=0.0),
+        Field("memory_limit_mb", "float", default=0.0, min=0.0),
         Field("grace_s", "float", default=6.0, min=0.1),
         Field("lookup_ttl_s", "float", default=2.0, min=0.1),
         Field("retry_ratio", "float", default=0.2, min=0.0, max=1.0),
@@ -92,6 +95,7 @@
         handover_port=0,
         peer_seeds=None,
         link_mbps=0.0,
+        memory_limit_mb=0.0,
         grace_s=6.0,
         lookup_ttl_s=2.0,
         retry_ratio=0.2,
@@ -112,6 +116,7 @@
         self.peer_seeds = [] if peer_seeds is None else peer_seeds
         self.domain_regions = domain_regions
         self.link_mbps = link_mbps
+        self.memory_limit_mb = memory_limit_mb
         self.grace_s = grace_s
         self.lookup_ttl_s = lookup_ttl_s
         self.retry_ratio = retry_ratio
