Send large bodies in pieces while the response is read

Cause: open_call encoded head and body as one value and handed it to the transport, which copied what the kernel did not take.

Bodies above 64 KiB are now sent by a task in pieces of 64 KiB, each when the send buffer has room, from the body itself. The response is read meanwhile, so that a server may still answer before it has read the request; the rest is not sent then, and the connection is not used again.

--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client: one request and its response on a connection."""
 
 import asyncio
+import contextlib
 import re
 
 import h11
@@ -28,6 +29,9 @@
 SPOOL_BYTES = 1 << 20
 """Largest body that is buffered completely before its first byte is passed on (bytes).
 Larger ones are streamed, and their requests are not retried."""
+SEND_PIECE_BYTES = 1 << 16
+"""Size of the pieces in which a body is sent (bytes): the high water of a send
+buffer."""
 MAX_COUNT_DIGITS = 18
 """Digits of a number beyond which it is not taken for a count."""
 MAX_SKIPPED_RESPONSES = 4
@@ -88,6 +92,7 @@
         stream: ByteStream.
         parser: h11 connection.
         request: h11 request, kept to parse further responses.
+        sender: Task that sends a large body, or None.
         events: Number of pieces of responses that were parsed.
         informational: Number of informational responses that were read.
         skipped: Number of responses to other requests that were skipped.
@@ -99,6 +104,7 @@
         "informational",
         "parser",
         "request",
+        "sender",
         "skipped",
         "skipped_bytes",
         "stream",
@@ -108,6 +114,7 @@
         self.stream = stream
         self.parser = parser
         self.request = request
+        self.sender = None
         self.events = 0
         self.informational = 0
         self.skipped = 0
@@ -163,12 +170,10 @@
     return [(n, v) for n, v in headers if n.lower() not in dropped]
 
 
-def _new_parser(request, body):
+def _new_parser(request):
+    """Returns an h11 connection and the encoded head of the request."""
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    data = parser.send(request)
-    if body:
-        data += parser.send(h11.Data(data=body))
-    return parser, data + parser.send(h11.EndOfMessage())
+    return parser, parser.send(request)
 
 
 def open_call(stream, method, target, headers, body):
@@ -179,15 +184,43 @@
         method: HTTP method (bytes).
         target: Request target (bytes), sent unchanged.
         headers: List of (name, value), both bytes, with the framing of the body.
-        body: Whole body (bytes).
+        body: Whole body (bytes or memoryview).
 
     Returns:
-        HttpCall.
+        HttpCall. A task sends what is left of a large body while the response is read,
+        since a server may respond before it has read the request.
     """
     request = h11.Request(method=method, target=target, headers=headers)
-    parser, data = _new_parser(request, body)
+    parser, data = _new_parser(request)
+    call = HttpCall(stream, parser, request)
+    if len(body) <= SEND_PIECE_BYTES:
+        if body:
+            data += parser.send(h11.Data(data=body))
+        bytestream.write(stream, data + parser.send(h11.EndOfMessage()))
+        return call
     bytestream.write(stream, data)
-    return HttpCall(stream, parser, request)
+    sending = _send_body(stream, parser, memoryview(body))
+    call.sender = asyncio.get_running_loop().create_task(sending)
+    return call
+
+
+async def _send_body(stream, parser, body):
+    """Sends a body in pieces, each when the send buffer has room for it."""
+    # Whoever reads the response sees that the connection broke off.
+    with contextlib.suppress(ConnectionError):
+        for start in range(0, len(body), SEND_PIECE_BYTES):
+            await bytestream.flush(stream)
+            if stream.transport.is_closing():
+                return
+            piece = body[start : start + SEND_PIECE_BYTES]
+            bytestream.write(stream, parser.send(h11.Data(data=piece)))
+        bytestream.write(stream, parser.send(h11.EndOfMessage()))
+
+
+def _stop_sending(call):
+    """Ends the sending of a body whose response is complete; nobody reads the rest."""
+    if call.sender is not None:
+        call.sender.cancel()
 
 
 async def _next_event(call):
@@ -277,6 +310,7 @@
             break
     else:
         response.complete = True
+        _stop_sending(call)
     response.body = bytes(body)
 
 
@@ -313,7 +347,8 @@
         if call.skipped_bytes > MAX_SKIPPED_BYTES:
             raise InvalidResponseError("a response to another request is too large")
     rest, closed = call.parser.trailing_data
-    call.parser, _unsent = _new_parser(_without_body(call.request), b"")
+    call.parser, _unsent = _new_parser(_without_body(call.request))
+    call.parser.send(h11.EndOfMessage())
     if rest:
         call.parser.receive_data(rest)
     if closed:
