Read bodies into memory that the byte budget counts

Cause: each body was held as soon as it arrived, whatever the others took.

The memory of a body is held by its Content-Length before its first bytes are kept; one of unknown length holds the most it may need beyond 64 KiB, and gives back the rest at its end. Without room the socket is not read, in the order of arrival, for half of the request's time; then the request is refused as not run (503, new code 2012 MEMORY_FULL, with Retry-After). A body that can never fit is refused at once from its length, as is one over max_body_bytes. Bodies up to 64 KiB do not wait for large ones. A caller that sends Expect is asked when there is room. There is no deadlock: a body that waits holds nothing, and a quarter of the budget is kept for answers.

Held bytes are released when nothing refers to the request any more, which each of its ends leads to; connections that have ended let go of theirs at once, not when the garbage collector finds them. Large bodies are mappings of their own, whose pages the process returns at once. Metrics show held bytes, their peak, waits and refusals.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -149,6 +149,9 @@
 async def _close(front, conn):
     """Closes a connection, which counts as open until its last bytes have left."""
     conn.closing = True
+    # Their memory counts as held until nothing refers to them.
+    conn.req = None
+    conn.ahead.clear()
     bytestream.close(conn.stream)
     try:
         await bytestream.wait_closed(conn.stream)
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -39,6 +39,8 @@
             source: own or peer.
         store_calls: Counter of calls on the store by kind and result.
         peer_bytes: Counter of the bytes of view updates by direction: sent or received.
+        memory_waits: Counter of the bodies that waited for memory.
+        memory_refusals: Counter of the requests that were refused for want of memory.
         loop_delay: Histogram of the delay of a timer of the event loop (s).
         log_dropped: Gauge of the dropped log lines that are not yet reported.
         gauges: Map of name to Gauge; the values are set when metrics are rendered.
@@ -52,6 +54,8 @@
         "limit_grants",
         "log_dropped",
         "loop_delay",
+        "memory_refusals",
+        "memory_waits",
         "peer_bytes",
         "registry",
         "request_ends",
@@ -130,6 +134,16 @@
             ("direction",),
             registry=registry,
         )
+        self.memory_waits = Counter(
+            "flamingolift_memory_waits",
+            "Bodies of requests that waited for memory",
+            registry=registry,
+        )
+        self.memory_refusals = Counter(
+            "flamingolift_memory_refusals",
+            "Requests refused for want of memory",
+            registry=registry,
+        )
         self.loop_delay = Histogram(
             "flamingolift_loop_delay_seconds",
             "Delay of a timer of the event loop (s)",
@@ -152,6 +166,8 @@
                 ("cut_off_services", "Services from which the instance is cut off"),
                 ("held_requests", "Requests that are held since servers ended"),
                 ("connections", "Callers' open connections"),
+                ("held_bytes", "Bytes held in the byte budget"),
+                ("held_bytes_peak", "Most bytes held in the byte budget so far"),
                 ("resident_bytes", "Resident memory of the process (bytes)"),
             )
         }
@@ -172,6 +188,9 @@
     gauges["cut_off_services"].set(len(lost_services(front)))
     gauges["held_requests"].set(len(front.crashes.held))
     gauges["connections"].set(len(front.connections))
+    budget = front.byte_budget
+    gauges["held_bytes"].set(budget.body_bytes + budget.other_bytes)
+    gauges["held_bytes_peak"].set(budget.peak_bytes)
     gauges["resident_bytes"].set(_resident_bytes())
     front.metrics.log_dropped.set(sum(front.log.dropped.values()))
     return generate_latest(front.metrics.registry)
--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -8,6 +8,7 @@
 from flamingolift_model.routing import RequestLimits
 
 from flamingolift_front import bytestream, httpcall
+from flamingolift_front.bodyreading import read_body
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import HANDED_ON, CallerRequest
 
@@ -66,19 +67,27 @@
                 ResultCode.HEADER_TOO_LARGE, "the request head exceeds max_header_bytes"
             )
         )
+    idle_s, deadline_at = _idle_time(limits), _deadline(front, head, received_at)
     try:
-        body = await _read_body(conn, limits, received_at)
+        body = await read_body(front, conn, head, limits, idle_s, deadline_at)
     except TimeoutError:
         return Error(
             Fault(ResultCode.REQUEST_TIMEOUT, "the request body did not arrive in time")
         )
     except h11.RemoteProtocolError as exc:
         return Error(Fault(ResultCode.BAD_REQUEST, str(exc)))
-    if body is None:
-        return Error(
-            Fault(ResultCode.TOO_LARGE, "the request body exceeds max_body_bytes")
-        )
-    return _build_request(front, conn, head, body, received_at)
+    if body.is_error():
+        return body
+    return _build_request(front, conn, head, body.ok, received_at)
+
+
+def _deadline(front, head, received_at):
+    """Returns the time at which the caller stops waiting (s, monotonic)."""
+    name = front.header_names.deadline_ms
+    text = header(list(head.headers.raw_items()), name, "")
+    remaining_ms = httpcall.parse_count(text)
+    remaining_s = DEFAULT_DEADLINE_S if remaining_ms is None else remaining_ms / 1000.0
+    return received_at + remaining_s
 
 
 def _idle_time(limits):
@@ -139,35 +148,6 @@
     return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n") + fields
 
 
-async def _read_body(conn, limits, received_at):
-    """Returns the body (bytes), or None when it exceeds the limit."""
-    ends_at = received_at + _idle_time(limits)
-    body = bytearray()
-    while True:
-        event = conn.reading.next_event()
-        if isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > limits.max_body_bytes:
-                return None
-        elif isinstance(event, h11.EndOfMessage):
-            return bytes(body)
-        else:
-            if conn.reading.they_are_waiting_for_100_continue:
-                # It follows the answers to the earlier requests.
-                await conn.turn.wait()
-                ends_at = time.monotonic() + _idle_time(limits)
-                _send_continue(conn)
-            data = await bytestream.read_before(conn.stream, ends_at)
-            conn.reading.receive_data(data)
-
-
-def _send_continue(conn):
-    """Asks for the body of a request, unless it comes unasked."""
-    if not conn.stream.buffer:
-        continue_event = h11.InformationalResponse(status_code=100, headers=[])
-        bytestream.write(conn.stream, conn.reading.send(continue_event))
-
-
 def _build_request(front, conn, head, body, received_at) -> Result:
     if head.method == b"CONNECT":
         # Its answer would open a tunnel, of which no server knows here.
@@ -182,20 +162,20 @@
     request_id = header(headers, names.request_id)
     if not request_id:
         return Error(Fault(ResultCode.BAD_REQUEST, f"{names.request_id} is missing"))
-    remaining_ms = httpcall.parse_count(header(headers, names.deadline_ms, ""))
-    remaining_s = DEFAULT_DEADLINE_S if remaining_ms is None else remaining_ms / 1000.0
+    data, held = body
     return Ok(
         CallerRequest(
             request_id,
             bytes(head.method),
             bytes(head.target),
             headers,
-            body,
+            data,
             header(headers, "host", ""),
             _cookie(headers, names.object_cookie),
             received_at,
-            received_at + remaining_s,
+            _deadline(front, head, received_at),
             attempts_left,
+            held,
         )
     )
 
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -80,7 +80,7 @@
         method: HTTP method (bytes).
         target: Request target (bytes), as received.
         headers: List of (name, value), both bytes, as received.
-        body: Body (bytes).
+        body: Body (bytes or memoryview).
         host: Host of the request.
         object_key: Key of the requested object; empty when the request has none.
         received_at: Time at which the request's head arrived (s, monotonic).
@@ -89,6 +89,8 @@
             handed on may still be sent; None for a caller's own request.
         fingerprint: Digest that equal requests share (hexadecimal); empty until it is
             needed.
+        held: HeldBytes of the body, released together with the request; None without
+            a body.
         spool_bytes: Part of the answer's body that is buffered before its first byte
             is passed on (bytes).
     """
@@ -99,6 +101,7 @@
         "deadline_at",
         "fingerprint",
         "headers",
+        "held",
         "host",
         "method",
         "object_key",
@@ -120,6 +123,7 @@
         received_at,
         deadline_at,
         attempts_left=None,
+        held=None,
     ):
         self.request_id = request_id
         self.method = method
@@ -131,6 +135,7 @@
         self.received_at = received_at
         self.deadline_at = deadline_at
         self.attempts_left = attempts_left
+        self.held = held
         self.fingerprint = ""
         self.spool_bytes = httpcall.SPOOL_BYTES
 
--- a/packages/model/src/flamingolift_model/codes.py
+++ b/packages/model/src/flamingolift_model/codes.py
@@ -32,6 +32,7 @@
     DEADLINE_BEFORE_RUN = 2009
     CUT_OFF = 2010
     REQUEST_HELD = 2011
+    MEMORY_FULL = 2012
     OUTCOME_UNKNOWN = 3001
     KEY_EXPIRED = 3002
     BACKEND_FAILED = 3003
@@ -152,6 +153,9 @@
         "no",
         "Backend servers ended under the same request, so it is held for now.",
     ),
+    ResultCode.MEMORY_FULL: ResultCodeInfo(
+        503, 30, "no", "The instance has no memory for the body of the request."
+    ),
     ResultCode.OUTCOME_UNKNOWN: ResultCodeInfo(
         504,
         31,
