Count answers that wait for slow callers, and send them in pieces

What callers saw: nothing yet; 500 slow callers with answers of just under 1 MiB would take 500 MB of an instance, twice while an answer is copied to a send buffer.

Cause: whole answers were buffered without a bound on their sum, and written at once to the transport, which held a second copy. A connection's read buffer took up to 256 KiB above 256 KiB.

The buffered part of an answer now draws on the byte budget; without room it is streamed as its caller reads it. Answers are written in pieces of 64 KiB with backpressure and count as held until the last piece is queued; one that is cut short by a planned stop is queued as a whole, as before. The first 16 KiB of an answer need no room, so that small ones are still retried and their connections kept. All sockets are read into one buffer of 32 KiB, and no longer above 32 KiB, so that a connection holds 64 KiB at most.

--- a/packages/front/src/flamingolift_front/answering.py
+++ b/packages/front/src/flamingolift_front/answering.py
@@ -165,9 +165,11 @@
     framing = (b"content-length",) if coded else ()
     headers = httpcall.strip_hop_headers(response.headers, framing)
     data = _encode_head(front, conn, response, headers)
-    data += conn.parser.send(h11.Data(data=response.body))
     conn.responding = True
     bytestream.write(conn.stream, data)
+    await _send_pieces(conn, response.body)
+    # It is sent, and no longer held while the rest follows.
+    response.body, response.held = b"", None
     async for chunk in httpcall.iter_body(forwarded.call):
         bytestream.write(conn.stream, conn.parser.send(h11.Data(data=chunk)))
         await bytestream.flush(conn.stream)
@@ -194,14 +196,42 @@
     if has_body:
         headers.append((b"Content-Length", str(len(response.body)).encode()))
     data = _encode_head(front, conn, response, headers)
-    if response.body and has_body:
-        data += conn.parser.send(h11.Data(data=response.body))
-    data += conn.parser.send(h11.EndOfMessage())
+    body = response.body if has_body else b""
     conn.responding = True
-    bytestream.write(conn.stream, data)
+    if len(body) > httpcall.SEND_PIECE_BYTES:
+        bytestream.write(conn.stream, data)
+        await _send_pieces(conn, body, is_whole=True)
+        data = b""
+    elif body:
+        data += conn.parser.send(h11.Data(data=body))
+    bytestream.write(conn.stream, data + conn.parser.send(h11.EndOfMessage()))
     await bytestream.flush(conn.stream)
 
 
+async def _send_pieces(conn, body, is_whole=False):
+    """Sends a part of an answer in pieces, each when the send buffer has room for it.
+
+    Args:
+        conn: CallerConnection.
+        body: Bytes.
+        is_whole: Whether they are the whole body, of which the rest is queued at once
+            when the instance stops.
+    """
+    rest = memoryview(body)
+    try:
+        while rest:
+            piece = rest[: httpcall.SEND_PIECE_BYTES]
+            rest = rest[len(piece) :]
+            bytestream.write(conn.stream, conn.parser.send(h11.Data(data=piece)))
+            await bytestream.flush(conn.stream)
+    except asyncio.CancelledError:
+        if is_whole and not conn.stream.ended:
+            data = conn.parser.send(h11.Data(data=rest)) if rest else b""
+            data += conn.parser.send(h11.EndOfMessage())
+            bytestream.write(conn.stream, data)
+        raise
+
+
 def _encode_head(front, conn, response, headers):
     """Encodes a response's head; announces the close while the instance stops.
 
--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -25,8 +25,11 @@
     "write_eof",
 ]
 
-READ_HIGH_WATER_BYTES = 1 << 18
-"""Buffered bytes from which the socket is no longer read; four default TCP windows."""
+READ_HIGH_WATER_BYTES = 1 << 15
+"""Buffered bytes from which the socket is no longer read. The kernel has buffers of its
+own, so that more would only add to the memory of many connections."""
+RECEIVE_BYTES = READ_HIGH_WATER_BYTES
+"""Most bytes that are taken from a socket at a time."""
 UNACKED_TIMEOUT_MS = 600
 """TCP_USER_TIMEOUT of a connection to a server (ms): long enough for two
 retransmissions between regions, and less than the usual timeout of a request."""
@@ -45,7 +48,11 @@
     """Bytes were not acknowledged in time, or keep-alive probes not answered."""
 
 
-class ByteStream(asyncio.Protocol):
+_received = memoryview(bytearray(RECEIVE_BYTES))
+"""Buffer into which all sockets are read, one after the other."""
+
+
+class ByteStream(asyncio.BufferedProtocol):
     """State of one TCP connection.
 
     Attributes:
@@ -99,8 +106,16 @@
         if accepted:
             self.on_open(self)
 
+    def get_buffer(self, sizehint):
+        """Returns the buffer to read into; called by the event loop."""
+        return _received
+
+    def buffer_updated(self, nbytes):
+        """Takes bytes out of the buffer again; called by the event loop."""
+        self.data_received(_received[:nbytes])
+
     def data_received(self, data):
-        """Buffers received bytes; called by the event loop."""
+        """Buffers received bytes."""
         self.buffer += data
         if self.on_data is not None:
             self.on_data(len(data))
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -7,6 +7,7 @@
 import h11
 
 from flamingolift_front import bytestream
+from flamingolift_front.heldbytes import extend_held, hold_now
 
 __all__ = [
     "HttpCall",
@@ -32,6 +33,9 @@
 SEND_PIECE_BYTES = 1 << 16
 """Size of the pieces in which a body is sent (bytes): the high water of a send
 buffer."""
+UNCOUNTED_BYTES = 1 << 14
+"""Size up to which a response is buffered without room in the budget (bytes), so that
+small ones are retried and their connections kept under pressure, too."""
 MAX_COUNT_DIGITS = 18
 """Digits of a number beyond which it is not taken for a count."""
 MAX_SKIPPED_RESPONSES = 4
@@ -73,9 +77,10 @@
         headers: List of (name, value), both bytes, as received.
         body: Part of the body that has been read (bytes).
         complete: Whether `body` is the whole body.
+        held: HeldBytes of `body`, or None.
     """
 
-    __slots__ = ("body", "complete", "headers", "reason", "status")
+    __slots__ = ("body", "complete", "headers", "held", "reason", "status")
 
     def __init__(self, status, reason, headers, body=b"", complete=False):
         self.status = status
@@ -83,6 +88,7 @@
         self.headers = headers
         self.body = body
         self.complete = complete
+        self.held = None
 
 
 class HttpCall:
@@ -93,6 +99,7 @@
         parser: h11 connection.
         request: h11 request, kept to parse further responses.
         sender: Task that sends a large body, or None.
+        budget: ByteBudget of the response's body, or None.
         events: Number of pieces of responses that were parsed.
         informational: Number of informational responses that were read.
         skipped: Number of responses to other requests that were skipped.
@@ -100,6 +107,7 @@
     """
 
     __slots__ = (
+        "budget",
         "events",
         "informational",
         "parser",
@@ -115,6 +123,7 @@
         self.parser = parser
         self.request = request
         self.sender = None
+        self.budget = None
         self.events = 0
         self.informational = 0
         self.skipped = 0
@@ -297,16 +306,19 @@
     Args:
         call: HttpCall.
         response: HttpResponse that is not complete.
-        spool_bytes: Largest body that is buffered completely (bytes).
+        spool_bytes: Largest body that is buffered completely (bytes). Without room in
+            the budget, less is.
 
     Raises:
         InvalidResponseError: The response is malformed or cut short.
         ConnectionError: The connection broke off.
     """
     body = bytearray(response.body)
+    if response.held is None and call.budget is not None:
+        response.held = hold_now(call.budget)
     async for chunk in iter_body(call):
         body += chunk
-        if len(body) > spool_bytes:
+        if len(body) > spool_bytes or not _has_room(response, body, chunk):
             break
     else:
         response.complete = True
@@ -314,6 +326,13 @@
     response.body = bytes(body)
 
 
+def _has_room(response, body, chunk):
+    """Counts a chunk of a body as held; returns whether more may be buffered."""
+    if response.held is None or extend_held(response.held, len(chunk)):
+        return True
+    return len(body) <= UNCOUNTED_BYTES
+
+
 async def iter_body(call):
     """Yields the rest of a response's body.
 
--- a/packages/front/src/flamingolift_front/sending.py
+++ b/packages/front/src/flamingolift_front/sending.py
@@ -293,9 +293,11 @@
     headers.append((_title_case(names.deadline_ms), str(remaining_ms).encode()))
     headers.append(field)
     try:
-        return httpcall.open_call(stream, req.method, req.target, headers, req.body)
+        call = httpcall.open_call(stream, req.method, req.target, headers, req.body)
     except h11.LocalProtocolError as exc:
         raise httpcall.InvalidResponseError(f"request cannot be sent: {exc}") from exc
+    call.budget = front.byte_budget
+    return call
 
 
 def _title_case(name):
--- a/packages/front/src/flamingolift_front/tests/test_memory_budget.py
+++ b/packages/front/src/flamingolift_front/tests/test_memory_budget.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import pytest
 from flamingolift_decisions.bytebudget import ByteBudget
-from flamingolift_front import bytestream, callers
+from flamingolift_front import bytestream, callers, httpcall
 from flamingolift_model.routing import RequestLimits
-from troubledserver import FAILED, make_site_front, sound, stop_server
+from troubledserver import FAILED, head, make_site_front, sound, stop_server
 
 LIMIT_BYTES = 400_000
 UPLOAD_BYTES = 200_000
@@ -23,17 +24,19 @@
         front: Front.
         port: TCP port for callers.
         pause_s: Time after which the server answers (s).
+        answer: Function of a request id that yields the pieces of its answer.
         bodies: List of the sizes of the bodies that the server read (bytes).
         server: asyncio server.
         tasks: Set of the server's tasks.
     """
 
-    __slots__ = ("bodies", "front", "pause_s", "port", "server", "tasks")
+    __slots__ = ("answer", "bodies", "front", "pause_s", "port", "server", "tasks")
 
     def __init__(self):
         self.bodies = []
         self.tasks = set()
         self.pause_s = 0.3
+        self.answer = sound
 
 
 async def serve(site, reader, writer):
@@ -42,13 +45,13 @@
     try:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                pairs = [line.partition(b": ") for line in head.split(b"\r\n")]
+                lines = await reader.readuntil(b"\r\n\r\n")
+                pairs = [line.partition(b": ") for line in lines.split(b"\r\n")]
                 fields = {name.lower(): value for name, _, value in pairs}
                 size = int(fields.get(b"content-length", 0))
                 site.bodies.append(len(await reader.readexactly(size)))
                 await asyncio.sleep(site.pause_s)
-                for piece in sound(fields[b"request-id"]):
+                for piece in site.answer(fields[b"request-id"]):
                     writer.write(piece)
     finally:
         site.tasks.discard(asyncio.current_task())
@@ -213,3 +216,68 @@
         assert site.front.byte_budget.body_bytes == UPLOAD_BYTES
         await wait_released(site)
         writer.transport.abort()
+
+
+ANSWER_BYTES = 150_000
+
+
+def large_answer(request_id):
+    """Yields an answer of ANSWER_BYTES."""
+    length = b"content-length: %d" % ANSWER_BYTES
+    yield head(request_id, length) + bytes(ANSWER_BYTES)
+
+
+async def open_slowly(site, number):
+    """Asks for an answer with a small window; returns the connection."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, ("127.0.0.1", site.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    writer.write(make_head(number, "Content-Length: 0"))
+    return reader, writer
+
+
+SPOOLED_BYTES = 1_000_000
+
+
+def spooled_answer(request_id):
+    """Yields an answer that is buffered as a whole."""
+    length = b"content-length: %d" % SPOOLED_BYTES
+    yield head(request_id, length) + bytes(SPOOLED_BYTES)
+
+
+# Guards against whole answers whose sum nothing bounds.
+async def test_answers_without_memory_are_streamed():
+    async with run_site() as site:
+        site.answer, site.pause_s = large_answer, 0.0
+        connections = [await open_slowly(site, number) for number in range(8)]
+        await asyncio.sleep(0.3)
+        assert 0 < site.front.byte_budget.peak_bytes <= LIMIT_BYTES
+        async with asyncio.timeout(WAIT_S):
+            for reader, _ in connections:
+                answer_head = await reader.readuntil(b"\r\n\r\n")
+                assert answer_head.split()[1] == b"200"
+                await reader.readexactly(ANSWER_BYTES)
+        for _, writer in connections:
+            writer.transport.abort()
+        await wait_released(site)
+
+
+# Guards against whole answers in send buffers, where nothing counts them.
+async def test_send_buffer_to_a_slow_caller_holds_a_piece_of_the_answer():
+    async with run_site() as site:
+        site.answer, site.pause_s = spooled_answer, 0.2
+        site.front.byte_budget = ByteBudget(10 * SPOOLED_BYTES)
+        _reader, writer = await open_slowly(site, 1)
+        await asyncio.sleep(0.1)
+        (conn,) = site.front.connections
+        sock = conn.stream.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await asyncio.sleep(0.4)
+        size = conn.stream.transport.get_write_buffer_size()
+        assert 0 < size <= 2 * httpcall.SEND_PIECE_BYTES
+        assert site.front.byte_budget.other_bytes == SPOOLED_BYTES
+        writer.transport.abort()
+        await wait_released(site)
