--- a/integration/platformfleet.py
+++ b/integration/platformfleet.py
@@ -14,6 +14,8 @@
 RETRY_WINDOW_S = 1.0
 """Window of the retry budget in `SETTINGS` (s); the fixed part of the budget is
 available from one window after a front's start."""
+UNLIMITED_MB = 0
+"""Memory limit in the settings of a front that has none."""
 ANSWER_PREFIX = b"answer of "
 HOST = "shop.example"
 SETTINGS = """
@@ -25,6 +27,7 @@
 [self.limits]
 max_fds = 512
 link_mbps = 25
+memory_mb = {memory_mb}
 [network]
 internal_ports = [{handover}, {metrics}]
 seeds = []
@@ -157,7 +160,9 @@
     return server
 
 
-async def start_front(fleet, name, store_port=None, search_path=None):
+async def start_front(
+    fleet, name, store_port=None, search_path=None, memory_mb=UNLIMITED_MB
+):
     """Starts a front and returns it; it need not be ready yet.
 
     Args:
@@ -165,12 +170,16 @@
         name: Instance name.
         store_port: Port of the store, or of a proxy before it.
         search_path: Module search path of another build; None for this one.
+        memory_mb: Memory limit in its settings (MB).
     """
     store_port = store_port or fleet.store.port
     names = ("front", "ready", "control", "directory", "metrics", "handover")
     ports = dict(zip(names, free_ports(len(names)), strict=True))
     settings_path = fleet.folder / f"{name}.toml"
-    settings_path.write_text(SETTINGS.format(name=name, store=store_port, **ports))
+    settings = SETTINGS.format(
+        name=name, store=store_port, memory_mb=memory_mb, **ports
+    )
+    settings_path.write_text(settings)
     log_path = fleet.folder / f"{name}.log"
     env = {**os.environ, "FLAMINGOLIFT_NODE_FILE": str(settings_path)}
     if search_path is not None:
