--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "ByteStream",
+    "InputHeldError",
     "PeerTimeoutError",
     "abort",
     "close",
@@ -18,6 +19,7 @@
     "peer_host",
     "read",
     "read_before",
+    "read_more",
     "release_input",
     "wait_closed",
     "wait_readable",
@@ -27,8 +29,11 @@
     "write_eof",
 ]
 
-READ_HIGH_WATER_BYTES = 1 << 18
-"""Buffered bytes from which the socket is no longer read; four default TCP windows."""
+READ_HIGH_WATER_BYTES = 1 << 15
+"""Buffered bytes from which the socket is no longer read. The kernel has buffers of its
+own, so that more would only add to the memory of many connections."""
+RECEIVE_BYTES = READ_HIGH_WATER_BYTES
+"""Most bytes that are taken from a socket at a time."""
 UNACKED_TIMEOUT_MS = 600
 """TCP_USER_TIMEOUT of a connection to a server (ms): long enough for two
 retransmissions between regions, and less than the usual timeout of a request."""
@@ -47,7 +52,15 @@
     """Bytes were not acknowledged in time, or keep-alive probes not answered."""
 
 
-class ByteStream(asyncio.Protocol):
+class InputHeldError(Exception):
+    """No more input is taken, and what has arrived is not complete."""
+
+
+_received = memoryview(bytearray(RECEIVE_BYTES))
+"""Buffer into which all sockets are read, one after the other."""
+
+
+class ByteStream(asyncio.BufferedProtocol):
     """State of one TCP connection.
 
     Attributes:
@@ -104,8 +117,16 @@
         if accepted:
             self.on_open(self)
 
+    def get_buffer(self, sizehint):
+        """Returns the buffer to read into; called by the event loop."""
+        return _received
+
+    def buffer_updated(self, nbytes):
+        """Takes bytes out of the buffer again; called by the event loop."""
+        self.data_received(_received[:nbytes])
+
     def data_received(self, data):
-        """Buffers received bytes; called by the event loop."""
+        """Buffers received bytes."""
         self.buffer += data
         if self.on_data is not None:
             self.on_data(len(data))
@@ -289,6 +310,24 @@
     return await read(stream)
 
 
+async def read_more(stream, ends_at):
+    """Returns more bytes of what has arrived in part, as `read_before` does.
+
+    Args:
+        stream: ByteStream.
+        ends_at: End of the wait (s, monotonic).
+
+    Raises:
+        InputHeldError: No more is taken from the socket.
+        TimeoutError: Nothing has arrived by then.
+        ConnectionError: The connection broke off.
+    """
+    data = await read_before(stream, ends_at)
+    if not data and stream.held:
+        raise InputHeldError
+    return data
+
+
 def extend_while_receiving(stream, timer, idle_s, total_s, on_data=None):
     """Extends a timeout as long as bytes arrive, until `stream.on_data` is reset.
 
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 client: one request and its response on a connection."""
 
 import asyncio
+import contextlib
 import re
 
 import h11
 
 from flamingolift_front import bytestream
+from flamingolift_front.heldbytes import extend_held, hold_now
 
 __all__ = [
     "HttpCall",
@@ -28,6 +30,12 @@
 SPOOL_BYTES = 1 << 20
 """Largest body that is buffered completely before its first byte is passed on (bytes).
 Larger ones are streamed, and their requests are not retried."""
+SEND_PIECE_BYTES = 1 << 16
+"""Size of the pieces in which a body is sent (bytes): the high water of a send
+buffer."""
+UNCOUNTED_BYTES = 1 << 14
+"""Size up to which a response is buffered without room in the budget (bytes), so that
+small ones are retried and their connections kept under pressure, too."""
 MAX_COUNT_DIGITS = 18
 """Digits of a number beyond which it is not taken for a count."""
 MAX_SKIPPED_RESPONSES = 4
@@ -69,9 +77,10 @@
         headers: List of (name, value), both bytes, as received.
         body: Part of the body that has been read (bytes).
         complete: Whether `body` is the whole body.
+        held: HeldBytes of `body`, or None.
     """
 
-    __slots__ = ("body", "complete", "headers", "reason", "status")
+    __slots__ = ("body", "complete", "headers", "held", "reason", "status")
 
     def __init__(self, status, reason, headers, body=b"", complete=False):
         self.status = status
@@ -79,6 +88,7 @@
         self.headers = headers
         self.body = body
         self.complete = complete
+        self.held = None
 
 
 class HttpCall:
@@ -88,6 +98,8 @@
         stream: ByteStream.
         parser: h11 connection.
         request: h11 request, kept to parse further responses.
+        sender: Task that sends a large body, or None.
+        budget: ByteBudget of the response's body, or None.
         events: Number of pieces of responses that were parsed.
         informational: Number of informational responses that were read.
         skipped: Number of responses to other requests that were skipped.
@@ -95,10 +107,12 @@
     """
 
     __slots__ = (
+        "budget",
         "events",
         "informational",
         "parser",
         "request",
+        "sender",
         "skipped",
         "skipped_bytes",
         "stream",
@@ -108,6 +122,8 @@
         self.stream = stream
         self.parser = parser
         self.request = request
+        self.sender = None
+        self.budget = None
         self.events = 0
         self.informational = 0
         self.skipped = 0
@@ -163,12 +179,10 @@
     return [(n, v) for n, v in headers if n.lower() not in dropped]
 
 
-def _new_parser(request, body):
+def _new_parser(request):
+    """Returns an h11 connection and the encoded head of the request."""
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    data = parser.send(request)
-    if body:
-        data += parser.send(h11.Data(data=body))
-    return parser, data + parser.send(h11.EndOfMessage())
+    return parser, parser.send(request)
 
 
 def open_call(stream, method, target, headers, body):
@@ -179,15 +193,43 @@
         method: HTTP method (bytes).
         target: Request target (bytes), sent unchanged.
         headers: List of (name, value), both bytes, with the framing of the body.
-        body: Whole body (bytes).
+        body: Whole body (bytes or memoryview).
 
     Returns:
-        HttpCall.
+        HttpCall. A task sends what is left of a large body while the response is read,
+        since a server may respond before it has read the request.
     """
     request = h11.Request(method=method, target=target, headers=headers)
-    parser, data = _new_parser(request, body)
+    parser, data = _new_parser(request)
+    call = HttpCall(stream, parser, request)
+    if len(body) <= SEND_PIECE_BYTES:
+        if body:
+            data += parser.send(h11.Data(data=body))
+        bytestream.write(stream, data + parser.send(h11.EndOfMessage()))
+        return call
     bytestream.write(stream, data)
-    return HttpCall(stream, parser, request)
+    sending = _send_body(stream, parser, memoryview(body))
+    call.sender = asyncio.get_running_loop().create_task(sending)
+    return call
+
+
+async def _send_body(stream, parser, body):
+    """Sends a body in pieces, each when the send buffer has room for it."""
+    # Whoever reads the response sees that the connection broke off.
+    with contextlib.suppress(ConnectionError):
+        for start in range(0, len(body), SEND_PIECE_BYTES):
+            await bytestream.flush(stream)
+            if stream.transport.is_closing():
+                return
+            piece = body[start : start + SEND_PIECE_BYTES]
+            bytestream.write(stream, parser.send(h11.Data(data=piece)))
+        bytestream.write(stream, parser.send(h11.EndOfMessage()))
+
+
+def _stop_sending(call):
+    """Ends the sending of a body whose response is complete; nobody reads the rest."""
+    if call.sender is not None:
+        call.sender.cancel()
 
 
 async def _next_event(call):
@@ -264,22 +306,33 @@
     Args:
         call: HttpCall.
         response: HttpResponse that is not complete.
-        spool_bytes: Largest body that is buffered completely (bytes).
+        spool_bytes: Largest body that is buffered completely (bytes). Without room in
+            the budget, less is.
 
     Raises:
         InvalidResponseError: The response is malformed or cut short.
         ConnectionError: The connection broke off.
     """
     body = bytearray(response.body)
+    if response.held is None and call.budget is not None:
+        response.held = hold_now(call.budget)
     async for chunk in iter_body(call):
         body += chunk
-        if len(body) > spool_bytes:
+        if len(body) > spool_bytes or not _has_room(response, body, chunk):
             break
     else:
         response.complete = True
+        _stop_sending(call)
     response.body = bytes(body)
 
 
+def _has_room(response, body, chunk):
+    """Counts a chunk of a body as held; returns whether more may be buffered."""
+    if response.held is None or extend_held(response.held, len(chunk)):
+        return True
+    return len(body) <= UNCOUNTED_BYTES
+
+
 async def iter_body(call):
     """Yields the rest of a response's body.
 
@@ -313,7 +366,8 @@
         if call.skipped_bytes > MAX_SKIPPED_BYTES:
             raise InvalidResponseError("a response to another request is too large")
     rest, closed = call.parser.trailing_data
-    call.parser, _unsent = _new_parser(_without_body(call.request), b"")
+    call.parser, _unsent = _new_parser(_without_body(call.request))
+    call.parser.send(h11.EndOfMessage())
     if rest:
         call.parser.receive_data(rest)
     if closed:
