Pass over an instance that does not allow a request which this one allows

What callers saw: a request that their instance handed on could end with the other instance's own 404, 413 or 431, though the policy in force at theirs allows it (DENIED).

Cause: an instance that takes requests of others checks them by its own view. One whose view lags, or that runs another build, refuses them with NO_ROUTE, TOO_LARGE, HEADER_TOO_LARGE, BAD_REQUEST or REQUEST_TIMEOUT. `hand_on` knew only refusals for want of servers as a reason to go on, and passed any other on to the caller.

Now such a refusal leads to the next instance. When none is left, the caller gets the own refusal of its instance (CUT_OFF, not run, with Retry-After), which is true: the request was allowed and ran nowhere. The other instance is not forgotten, as it may serve requests of other routes.

--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -45,6 +45,18 @@
     )
 )
 """Result codes of an instance that cannot serve a request which others may serve."""
+_VIEW_DIFFERS = frozenset(
+    str(code.value)
+    for code in (
+        ResultCode.BAD_REQUEST,
+        ResultCode.HEADER_TOO_LARGE,
+        ResultCode.NO_ROUTE,
+        ResultCode.REQUEST_TIMEOUT,
+        ResultCode.TOO_LARGE,
+    )
+)
+"""Result codes of an instance that does not allow a request which this one allows: it
+has another policy in force, or another build. Its refusal is not the caller's."""
 _NOT_RUN = REQUEST_OUTCOMES["no"]
 
 
@@ -94,9 +106,9 @@
 
     Returns:
         Some with a Result as `forwarding.forward` returns it, or Nothing when the
-        request was not handed on, since no such instance is known or accepts a
-        connection, and when an instance refuses a request that an own send may have
-        run.
+        request was not handed on, since no such instance is known, accepts a
+        connection or allows it, and when an instance refuses a request that an own
+        send may have run.
     """
     was_sent = may_have_run(trace)
     tried, declined = set(), Nothing
@@ -116,20 +128,18 @@
         result = await _exchange(front, req, route, trace, entry, stream, deadline)
         # A refusal knows nothing of the sends before it.
         refused = Nothing if was_sent and _is_not_run(front, result) else Some(result)
-        if not _is_declined(front, result):
+        code = _own_field(front, result, "result-code")
+        if code not in _VIEW_DIFFERS and code not in _DECLINED:
             return refused
         # Until it is sent again, the request runs nowhere but by an own send.
-        trace.handed_to, declined = "", refused
-        helperlist.forget_helper(front, entry.instance_id)
+        trace.handed_to = ""
+        if code in _DECLINED:
+            declined = refused
+            helperlist.forget_helper(front, entry.instance_id)
     front.metrics.handed_on.labels("no_helper").inc()
     return declined
 
 
-def _is_declined(front, result):
-    """Returns whether an instance says that it cannot serve a request."""
-    return _own_field(front, result, "result-code") in _DECLINED
-
-
 def _is_not_run(front, result):
     """Returns whether an instance refuses a request as not run."""
     return _own_field(front, result, "request-outcome") == _NOT_RUN
