--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -41,7 +41,7 @@
 """Interval at which the requests in flight are checked during a shutdown (s)."""
 
 
-async def run_front(front, lookup_handler, ready_handler, reload_settings):
+async def run_front(front, lookup_handler, ready_handler, reload_settings, early=()):
     """Runs a front until SIGTERM or SIGINT, then drains its connections.
 
     Args:
@@ -50,12 +50,20 @@
             returns the HttpResponse to a look-up.
         ready_handler: The same for a readiness check.
         reload_settings: Function without arguments, called on SIGHUP.
+        early: Set of the signals that arrived before; more may be added to it until
+            this function takes them.
     """
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings)
+    handlers = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+        signal.SIGHUP: reload_settings,
+    }
+    for number, handler in handlers.items():
+        loop.add_signal_handler(number, handler)
+        if number in early:
+            handler()
     listeners = await _listen(front, lookup_handler, ready_handler)
     for function in (
         sync_view,
