Tell the instance that hands a request on which server answered it

What callers saw: an instance passed on an answer with Server-Leaving that came through another instance, and sent requests to that server once its own paths were back (DRAIN); in the same way it went beyond a Server-Limit that it had passed on (LIMIT).

Cause: `hand_on` passed such an answer on unread, and could not have known the server: its id is in no header field.

An instance that takes a request of another one now names the server of the answer and its start in Flamingolift-Served-By, and the number of servers that received the request in Flamingolift-Attempts. The other instance removes both, notes a server that leaves and asks `limitgrants` about the limit. A server's own fields of these names are dropped by the instance that it answers. Retry-After is not noted, since the server asked the other instance for quiet, and neither is its load, which says nothing by the time at which the own paths are back. A former build names no server, and its answers are unread as before.

Evidence: integration/test_passed_on_notices.py, five cases, all fail before (four with the server unknown to be leaving or limited, one on the field itself) and pass after; test_cut_off.py, test_cut_off_answers.py, test_helper_refusals.py, test_leaving_servers.py and packages/front pass, but for one of packages/front on the log fields of answer_lost, which fails in the same way without this change's files.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -10,7 +10,13 @@
 from expression import Error
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
-from flamingolift_front import answering, bytestream, forwarding, readahead
+from flamingolift_front import (
+    answering,
+    bytestream,
+    forwarding,
+    handoverfields,
+    readahead,
+)
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.refusals import retryable_fault
 from flamingolift_front.requesttrace import may_have_run
@@ -337,8 +343,13 @@
         fault = result.error
         status = RESULT_CODE_INFO[fault.code].status
         answering.log_request(front, req, trace, fault.code.name, status, fault.detail)
-        await answering.send_response(front, conn, problem_response(fault), req.method)
+        response = problem_response(fault)
+        if conn.from_instance:
+            handoverfields.write_fields(response, trace)
+        await answering.send_response(front, conn, response, req.method)
         return "refused"
+    if conn.from_instance:
+        handoverfields.write_fields(result.ok.response, trace)
     answering.log_request(front, req, trace, "answered", result.ok.response.status)
     await answering.relay_response(front, conn, req, result.ok)
     return "answered"
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -11,7 +11,15 @@
 from flamingolift_model import Fault, ResultCode
 from flamingolift_wire.problems import REQUEST_OUTCOMES
 
-from flamingolift_front import bytestream, crashwatch, helperlist, httpcall, serverpool
+from flamingolift_front import (
+    bytestream,
+    crashwatch,
+    handoverfields,
+    helperlist,
+    httpcall,
+    servernotices,
+    serverpool,
+)
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header
 from flamingolift_front.pathrecords import may_connect
@@ -204,10 +212,11 @@
         if not finished:
             bytestream.abort(stream)
     front.metrics.handed_on.labels("answered").inc()
+    served_by, now = handoverfields.take_fields(response), time.monotonic()
+    peer = entry.instance_id
+    servernotices.observe_passed_on(front, served_by, response, peer, now)
     if not response.complete:
         return Ok(ForwardedResponse(response, call))
-    address, now = (entry.host, entry.handover_port), time.monotonic()
-    serverpool.return_connection(
-        front.helper_pool, entry.instance_id, address, call, response, now
-    )
+    address = (entry.host, entry.handover_port)
+    serverpool.return_connection(front.helper_pool, peer, address, call, response, now)
     return Ok(ForwardedResponse(response))
--- a/packages/front/src/flamingolift_front/servernotices.py
+++ b/packages/front/src/flamingolift_front/servernotices.py
@@ -2,10 +2,11 @@
 
 from flamingolift_decisions import availability
 
+from flamingolift_front import limitgrants
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.httpcall import header, parse_decimal
 
-__all__ = ["observe_answer"]
+__all__ = ["observe_answer", "observe_passed_on"]
 
 MAX_RETRY_AFTER_S = 86400.0
 """Time above which a figure is taken for an error (s)."""
@@ -31,6 +32,30 @@
         _observe_quiet(front, send, retry_after, now)
 
 
+def observe_passed_on(front, served_by, response, peer, now):
+    """Records what an answer that came through another instance says of its server.
+
+    A time without requests is not recorded: the server asked the other instance for it.
+
+    Args:
+        front: Front.
+        served_by: ServedBy of the answer.
+        response: HttpResponse.
+        peer: Id of the other instance.
+        now: Current time (s, monotonic).
+    """
+    server_id, started_ms = served_by.server_id, served_by.started_ms
+    if not server_id:
+        return
+    value = header(response.headers, front.header_names.leaving, "")
+    if value.strip() == "1":
+        _observe_leaving(front, server_id, started_ms, peer)
+    backend = front.view.backends.backends.get(server_id)
+    if backend is not None and backend.entry.started_ms == started_ms:
+        named = header(response.headers, front.header_names.limit)
+        limitgrants.observe_answer(front, backend, named, now)
+
+
 def _observe_quiet(front, send, value, now):
     view, server_id = front.view.backends, send.server_id
     duration_s = parse_decimal(value)
