Pass over an instance that is full, within the route's attempts

What callers saw: a request that was handed on to an instance which already ran as many requests of others as it takes was refused as OVERLOADED, though another instance had room.

Cause: `hand_on` took that refusal for final. It could not have gone on safely: an instance also answers OVERLOADED after servers have turned the request away, and a further one would begin anew with all of the route's attempts.

The other instance now says how many servers received the request, so the next one gets what is left of the attempts, and sends a repeat only within its retry budget. An answer of a former build, which does not say, stays final.

--- a/integration/test_helper_refusals.py
+++ b/integration/test_helper_refusals.py
@@ -1,8 +1,11 @@
 """Refusals of another instance, which a request that was handed on may meet."""
 
+import time
+
 import pytest
 from cutsites import REFUSE, ROUTES, cut_paths, run_cut_site, send, served, wait_until
 from flamingolift_decisions import routetable
+from flamingolift_front import handover
 from flamingolift_model.routing import RequestLimits, RoutingPolicy
 
 SMALL_HEAD = RequestLimits(max_header_bytes=16)
@@ -73,3 +76,38 @@
     assert b"Request-Outcome: not-run" in data
     assert b"Retry-After: " in data
     assert len(served(site)) == before
+
+
+# Guards against a refusal of the first instance that takes no more requests of others,
+# while another one has room.
+async def test_busy_instance_is_passed_over(site, monkeypatch):
+    first = await ask_both(site)
+    site.instances[1].front.taken = handover.MAX_TAKEN
+    for number in range(12):
+        status, _data = await send(first, "POST", "/book/a", number=number, body=b"x")
+        assert status == 200
+
+
+# Guards against a request that meets a chain of refusals and is answered late.
+async def test_refusals_of_all_are_passed_on_at_once(site):
+    first = await ask_both(site)
+    for instance in site.instances[1:]:
+        instance.front.taken = handover.MAX_TAKEN
+    started = time.monotonic()
+    status, data = await send(first, "POST", "/book/a", body=b"x")
+    assert status == 503
+    assert b"Request-Outcome: not-run" in data
+    assert time.monotonic() - started < 1.0
+
+
+# Guards against more tries than the route allows, over several instances that each
+# find all servers full.
+async def test_refusals_for_full_servers_share_the_attempts(site):
+    first = await ask_both(site)
+    for server in site.servers.values():
+        server.script = dict.fromkeys(range(1, 99), "reject")
+    before = len(served(site))
+    status, data = await send(first, "GET", "/read/a")
+    assert status == 503
+    assert b"Request-Outcome: not-run" in data
+    assert len(served(site)) - before <= 3
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -65,6 +65,7 @@
 )
 """Result codes of an instance that does not allow a request which this one allows: it
 has another policy in force, or another build. Its refusal is not the caller's."""
+_OVERLOADED = str(ResultCode.OVERLOADED.value)
 _NOT_RUN = REQUEST_OUTCOMES["no"]
 
 
@@ -133,21 +134,45 @@
             _record_failure(front, req, entry, "unreached", exc)
             continue
         trace.handed_to = entry.instance_id
-        result = await _exchange(front, req, route, trace, entry, stream, deadline)
+        result, attempts = await _exchange(
+            front, req, route, trace, entry, stream, deadline
+        )
         # A refusal knows nothing of the sends before it.
         refused = Nothing if was_sent and _is_not_run(front, result) else Some(result)
         code = _own_field(front, result, "result-code")
-        if code not in _VIEW_DIFFERS and code not in _DECLINED:
+        if not _may_go_on(route, trace, code, attempts):
             return refused
         # Until it is sent again, the request runs nowhere but by an own send.
         trace.handed_to = ""
-        if code in _DECLINED:
+        if code not in _VIEW_DIFFERS:
             declined = refused
             helperlist.forget_helper(front, entry.instance_id)
     front.metrics.handed_on.labels("no_helper").inc()
     return declined
 
 
+def _may_go_on(route, trace, code, attempts):
+    """Returns whether a request may be handed on to a further instance.
+
+    Args:
+        route: Route of the request.
+        trace: Trace, which receives the attempts.
+        code: Result code in the answer of the last instance (text); None when the
+            answer is a server's, or there is none.
+        attempts: Number of servers that received the request there; None when that is
+            not known.
+    """
+    if code is None:
+        return False
+    trace.attempts += attempts or 0
+    if trace.attempts >= route.max_attempts:
+        return False
+    # Without the number, a further instance might exceed the route's attempts.
+    if code == _OVERLOADED:
+        return attempts is not None
+    return code in _DECLINED or code in _VIEW_DIFFERS
+
+
 def _is_not_run(front, result):
     """Returns whether an instance refuses a request as not run."""
     return _own_field(front, result, "request-outcome") == _NOT_RUN
@@ -188,7 +213,12 @@
 
 
 async def _exchange(front, req, route, trace, entry, stream, deadline):
-    """Sends the request and reads the response; returns a Result."""
+    """Sends the request and reads the response.
+
+    Returns:
+        Tuple of a Result as `hand_on` returns it, and the number of servers that
+        received the request; None when that is not known.
+    """
     attempts_left = str(route.max_attempts - trace.attempts).encode()
     finished = False
     try:
@@ -207,7 +237,7 @@
         code = ResultCode.OUTCOME_UNKNOWN
         if route.idempotent:
             code = ResultCode.BACKEND_FAILED
-        return Error(Fault(code, detail))
+        return Error(Fault(code, detail)), None
     finally:
         if not finished:
             bytestream.abort(stream)
@@ -216,7 +246,7 @@
     peer = entry.instance_id
     servernotices.observe_passed_on(front, served_by, response, peer, now)
     if not response.complete:
-        return Ok(ForwardedResponse(response, call))
+        return Ok(ForwardedResponse(response, call)), served_by.attempts
     address = (entry.host, entry.handover_port)
     serverpool.return_connection(front.helper_pool, peer, address, call, response, now)
-    return Ok(ForwardedResponse(response))
+    return Ok(ForwardedResponse(response)), served_by.attempts
