Answer a held request by its deadline while other instances are asked for its trial

What callers saw: a held request that was due for its trial, with a deadline of 0.4 s, was answered after 1.5 s when the instances that grant trials were silent.

Cause: up to three instances are asked one after the other, 0.5 s each, before the request comes under the limit of its deadline.

The stub in test_pipelined_starts.py takes the further argument.

--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -94,7 +94,7 @@
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(retryable_fault(front, ResultCode.DRAINING, detail))
-    held = await heldattempts.check_hold(front, req, trace)
+    held = await heldattempts.check_hold(front, req, trace, deadline)
     if held.is_error():
         return held
     if not serverpaths.is_cut_off(front.paths, trace.service):
--- a/packages/front/src/flamingolift_front/tests/test_pipelined_starts.py
+++ b/packages/front/src/flamingolift_front/tests/test_pipelined_starts.py
@@ -186,7 +186,7 @@
 
 
 async def test_held_request_in_the_middle_is_refused_in_its_place(monkeypatch):
-    async def check_hold(_front, req, _trace):
+    async def check_hold(_front, req, _trace, _deadline):
         if req.request_id == "q2":
             return Error(Fault(ResultCode.REQUEST_HELD, "held"))
         return Ok(None)
