Test waits for a first view and for other instances that end in unusual ways

No fault: a request that waits for the first view or for the list of other instances is refused as not run, with an answer, when the instance ends its requests in a planned stop, at its deadline, and when all other instances go; one whose policy goes and comes back while it waits is served. Five cases, all pass on the code as it was.

--- a/integration/test_helper_ends.py
+++ b/integration/test_helper_ends.py
@@ -5,7 +5,7 @@
 
 import pytest
 from cutsites import REFUSE, cut_paths, run_cut_site, send, wait_until
-from flamingolift_front import run
+from flamingolift_front import callers, helperlist, run
 
 STOP_GRACE_S = 2.0
 
@@ -98,3 +98,34 @@
     assert b"Request-Outcome: unknown" in data
     assert len(taken) == 1
     ending.close()
+
+
+# Guards against a request that waits for a list of other instances and is dropped
+# without an answer: by a planned stop, by its deadline, or when all others go.
+@pytest.mark.parametrize("end", ["stop", "deadline", "others gone"])
+async def test_wait_for_other_instances_ends_with_a_refusal(site, monkeypatch, end):
+    first = site.instances[0]
+    await ask_both(site)
+    asked = asyncio.Event()
+
+    async def ask_no_one(_front):
+        asked.set()
+        await asyncio.sleep(10.0)
+
+    monkeypatch.setattr(helperlist, "ask_peers", ask_no_one)
+    helperlist.forget_all(first.front)
+    started = time.monotonic()
+    deadline_ms = 300 if end == "deadline" else 2000
+    call = asyncio.ensure_future(
+        send(first, "POST", "/book/a", body=b"x", deadline_ms=deadline_ms)
+    )
+    await wait_until(lambda: any(c.req for c in first.front.connections))
+    if end == "stop":
+        first.front.stopping = True
+        callers.end_requests(first.front)
+    elif end == "others gone":
+        first.front.view.instances.clear()
+    status, data = await call
+    assert status == 503
+    assert b"Request-Outcome: not-run" in data
+    assert time.monotonic() - started < 1.0
--- a/packages/front/src/flamingolift_front/tests/test_first_view.py
+++ b/packages/front/src/flamingolift_front/tests/test_first_view.py
@@ -5,6 +5,7 @@
 
 import pytest
 from flamingolift_decisions.fleetreturn import FIRST_VIEW_S, MAX_WAIT_SHARE
+from flamingolift_front import callers
 from flamingolift_front.state import notify_change
 from troubledserver import (
     SOUND_BODY,
@@ -89,3 +90,36 @@
         withheld.arrive()
         await asyncio.sleep(0.1)
         assert site.failed.requests == site.sound.requests == 0
+
+
+# Guards against a request that waits for the first view and is dropped without an
+# answer when its instance ends its requests in a planned stop.
+async def test_stop_during_the_wait_for_the_first_view_is_told():
+    async with run_site(sound) as site:
+        Withheld(site.front)
+        call = asyncio.ensure_future(fetch_timed(site, deadline_s=20.0))
+        await asyncio.sleep(0.1)
+        site.front.stopping = True
+        callers.end_requests(site.front)
+        data, took_s = await call
+        assert data.startswith(b"HTTP/1.1 503")
+        assert b"request-outcome: not-run" in data.lower()
+        assert took_s <= MARGIN_S + 0.1
+        assert site.failed.requests == site.sound.requests == 0
+
+
+# Guards against a request that waits for the view of a restored store, which takes its
+# route back and brings it again: it is answered by what is in force when it is sent.
+async def test_route_that_goes_and_comes_back_during_the_wait():
+    async with run_site(sound) as site:
+        withheld = Withheld(site.front)
+        call = asyncio.ensure_future(fetch_timed(site, deadline_s=20.0))
+        await asyncio.sleep(0.1)
+        withheld.arrive()
+        site.front.view.table = None
+        notify_change(site.front.view)
+        await asyncio.sleep(0.1)
+        withheld.arrive()
+        data, _took_s = await call
+        assert data.startswith(b"HTTP/1.1 200")
+        assert data.endswith(SOUND_BODY)
