Bound the wait for a verdict by the caller's deadline

What callers saw: the end of an answer that broke off after its first bytes waits for the probe of its server without a time limit; a probe whose connect hangs takes 0.4 s, so a request at its deadline was answered that much later.

The wait in `note_lost` now ends with the caller's deadline. The probe goes on, and its verdict counts for later requests.

Evidence: tests/test_waits_end.py::test_wait_for_the_verdict_ends_with_the_deadline, with a probe that takes 5 s, fails before (5.0 s) and passes after (deadline 0.4 s); test_pipelined_starts.py and test_crashing_requests.py pass.

--- a/packages/front/src/flamingolift_front/heldattempts.py
+++ b/packages/front/src/flamingolift_front/heldattempts.py
@@ -51,6 +51,8 @@
 async def note_lost(front, req, trace, entry):
     """Records a lost answer; waits for the verdict if the request may become held.
 
+    The wait ends with the caller's deadline.
+
     Args:
         front: Front.
         req: CallerRequest.
@@ -61,4 +63,6 @@
     record, now = front.crashes.record, time.monotonic()
     is_suspect = quarantine.may_end_more(record, fingerprint_of(req), now)
     if probe is not None and (trace.is_trial or is_suspect):
-        await asyncio.wait({probe})
+        # An answer that broke off after its first bytes has no other time limit.
+        left_s = max(0.0, req.deadline_at - time.monotonic())
+        await asyncio.wait({probe}, timeout=left_s)
--- a/packages/front/src/flamingolift_front/tests/test_waits_end.py
+++ b/packages/front/src/flamingolift_front/tests/test_waits_end.py
@@ -7,7 +7,9 @@
 import pytest
 from flamingolift_decisions import serverlimits
 from flamingolift_decisions.quarantine import Hold
-from flamingolift_front import callers, crashwatch
+from flamingolift_front import callers, crashwatch, heldattempts
+from flamingolift_front.requesttrace import Trace
+from flamingolift_front.sending import CallerRequest
 from frontviews import make_entry
 from troubledserver import fetch, run_site, sound
 
@@ -66,6 +68,12 @@
     return data, time.monotonic() - started
 
 
+def make_request(received_at, deadline_at):
+    return CallerRequest(
+        "q1", b"GET", b"/a", [], b"", "h", "", received_at, deadline_at
+    )
+
+
 def is_refusal(data):
     return (
         data.startswith(b"HTTP/1.1 503")
@@ -86,6 +94,24 @@
         assert site.failed.requests == site.sound.requests == 0
 
 
+# Guards against an answer that is told as lost long after the deadline, since a server
+# that may have ended does not answer its probe either.
+async def test_wait_for_the_verdict_ends_with_the_deadline(monkeypatch):
+    async with run_site(sound) as site:
+        probe = asyncio.ensure_future(asyncio.sleep(5.0))
+        monkeypatch.setattr(crashwatch, "note_lost", lambda *_args: probe)
+        started = time.monotonic()
+        req = make_request(started, started + DEADLINE_S)
+        trace = Trace()
+        trace.is_trial = True
+        backend = next(iter(site.front.view.backends.backends.values()))
+        await heldattempts.note_lost(site.front, req, trace, backend.entry)
+        took_s = time.monotonic() - started
+        assert DEADLINE_S - 0.01 <= took_s < DEADLINE_S + MARGIN_S
+        assert not probe.cancelled()
+        probe.cancel()
+
+
 async def test_wait_for_a_grant_ends_with_the_deadline():
     async with run_site(sound) as site, silent_peers(site.front) as asked:
         limit_all(site.front)
