Pass over an instance whose own fault ended a request before its first send

What callers saw: a request that was handed on was refused as INTERNAL_NOT_RUN when the other instance's code failed before any send, though a further instance could serve it.

That refusal says that the request ran nowhere, so it now leads to the next instance.

Evidence: test_helper_refusals.py::test_instance_that_fails_before_a_send_is_passed_over fails before (503, both cases) and passes after, with the other cases of the file.

--- a/integration/test_helper_refusals.py
+++ b/integration/test_helper_refusals.py
@@ -100,6 +100,17 @@
     assert time.monotonic() - started < 1.0
 
 
+# Guards against a fault in one instance's code that ends a request which ran nowhere,
+# while another one could serve it.
+@pytest.mark.parametrize(("method", "path"), [("GET", "/read/a"), ("POST", "/book/a")])
+async def test_instance_that_fails_before_a_send_is_passed_over(site, method, path):
+    first = await ask_both(site)
+    site.instances[1].front.view.table.routes = None
+    for number in range(12):
+        status, _data = await send(first, method, path, number=number, body=b"x")
+        assert status == 200
+
+
 # Guards against more tries than the route allows, over several instances that each
 # find all servers full.
 async def test_refusals_for_full_servers_share_the_attempts(site):
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -47,6 +47,7 @@
     str(code.value)
     for code in (
         ResultCode.CUT_OFF,
+        ResultCode.INTERNAL_NOT_RUN,
         ResultCode.NO_BACKEND,
         ResultCode.DRAINING,
         ResultCode.NOT_READY,
