Bound what one update of a peer unpacks to

An instance that got a small update of a peer could need far more memory than the smallest machine has (152 MB): up to 32 MiB were decompressed for the changes, 16 MiB for each document of any number of them, and no bound held for the values that msgpack builds.

The bytes that are decompressed and the values that are built are now counted for the update as a whole: 8 MiB and 600,000.

In test_viewupdates.py the test of a document beyond the limit sets the new name of the bound; what it asks is unchanged.

--- a/packages/front/src/flamingolift_front/tests/test_viewupdates.py
+++ b/packages/front/src/flamingolift_front/tests/test_viewupdates.py
@@ -97,7 +97,7 @@
     front = new_front()
     apply_changes(front, [change("policy", make_policy(3, 500), 11)], 11)
     data = encode_update(front.view, 10, 0)
-    monkeypatch.setattr(viewupdates, "MAX_DOCUMENT_BYTES", 10_000)
+    monkeypatch.setattr(viewupdates, "MAX_UNPACKED_BYTES", 10_000)
     with pytest.raises(ValueError, match="too large"):
         decode_update(data, 10)
 
@@ -167,3 +167,14 @@
     apply_snapshot(front, entries, 12)
     assert front.view.pending_removals == {}
     assert len(front.view.documents) == 4
+
+
+# Guards against bounds of updates that refuse the view of a large fleet.
+async def test_snapshot_of_a_large_fleet_is_read(new_front, change):
+    entries = [change(f"instances/front-{n}", make_entry(n), 10) for n in range(6400)]
+    policy = make_policy(3, 9000)
+    front = new_front([*entries, change("policy", policy, 9)])
+    update = decode_update(encode_update(front.view, -1, 0), None)
+    assert len(update.changes) == 6401
+    assert update.malformed == []
+    assert update.changes[-1].document == policy
--- a/packages/front/src/flamingolift_front/viewupdates.py
+++ b/packages/front/src/flamingolift_front/viewupdates.py
@@ -17,11 +17,15 @@
 
 __all__ = ["ViewUpdate", "decode_update", "encode_update"]
 
-MAX_DOCUMENT_BYTES = 1 << 24
-"""Largest msgpack form of one document (bytes): a value of the store, limited to 1 MB,
-grows several times when its column names are repeated."""
-MAX_CHANGES_BYTES = 1 << 25
-"""Largest msgpack form of the changes of one update (bytes)."""
+MAX_UNPACKED_BYTES = 8 << 20
+"""Largest sum of the msgpack forms that are decompressed for one update (bytes). A
+value of the store, limited to 1 MB, grows several times when its column names are
+repeated; an update holds one such value and the entries of the fleet."""
+MAX_VALUES = 600_000
+"""Most values in the msgpack forms of one update: twice those of a policy of 9,000
+routes and 6,400 entries. Each takes up to 80 bytes, 48 MB in all."""
+MAX_CONTAINER_VALUES = 1 << 16
+"""Most values of one list or map, whose memory is allocated before they are read."""
 COMPRESS_FROM_BYTES = 2048
 """Size from which a document, or the documents of an update, are compressed (bytes)."""
 COMPRESSION_LEVEL = 1
@@ -55,6 +59,21 @@
         self.malformed = malformed
 
 
+class _Allowance:
+    """What may still be unpacked for one update.
+
+    Attributes:
+        size: Bytes that may still be decompressed.
+        values: Values that may still be read.
+    """
+
+    __slots__ = ("size", "values")
+
+    def __init__(self):
+        self.size = MAX_UNPACKED_BYTES
+        self.values = MAX_VALUES
+
+
 def encode_update(view, after, max_bytes):
     """Encodes the changes of a view since a revision.
 
@@ -152,15 +171,17 @@
         ValueError: The update is malformed, or a document in it is damaged or too
             large. A document that breaks a rule of its class fails only its change.
     """
-    update = _build(PackedUpdate, msgpack.unpackb(data))
+    allowance = _Allowance()
+    update = _build(PackedUpdate, _unpack(data, allowance))
     known = -1 if own_revision is None else own_revision
     changes, malformed = [], []
     if update.revision > known and update.changes:
-        body, limit = update.changes, MAX_CHANGES_BYTES
-        rows = msgpack.unpackb(_decompress(body, limit) if update.compressed else body)
-        packed = [_build(PackedChange, row) for row in rows]
+        body = update.changes
+        if update.compressed:
+            body = _decompress(body, allowance)
+        packed = [_build(PackedChange, row) for row in _unpack(body, allowance)]
         changes = [
-            _unpack_change(change, malformed)
+            _unpack_change(change, allowance, malformed)
             for change in packed
             if update.is_snapshot or change.revision > known
         ]
@@ -178,7 +199,7 @@
     return built.ok
 
 
-def _unpack_change(change, malformed):
+def _unpack_change(change, allowance, malformed):
     """Returns the ViewChange of a PackedChange, and records one that cannot be used."""
     key, revision = change.key, change.revision
     if not change.kind:
@@ -189,21 +210,41 @@
         return ViewChange(key, UNREADABLE, revision)
     body = change.body
     if change.compressed:
-        body = _decompress(body, MAX_DOCUMENT_BYTES)
-    built = from_plain(cls, msgpack.unpackb(body))
+        body = _decompress(body, allowance)
+    built = from_plain(cls, _unpack(body, allowance))
     if built.is_ok():
         return ViewChange(key, built.ok, revision)
     malformed.append((key, revision, built.error[0].detail))
     return ViewChange(key, None if cls is BackendEntry else UNREADABLE, revision)
 
 
-def _decompress(body, max_bytes):
-    """Decompresses data without allocating more than a size limit."""
+def _decompress(body, allowance):
+    """Decompresses data without allocating more than is allowed."""
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(body, max_bytes)
+        # A size of 0 stands for no limit.
+        data = decompressor.decompress(body, max(1, allowance.size))
     except zlib.error as exc:
         raise ValueError(f"not zlib data: {exc}") from exc
     if not decompressor.eof:
         raise ValueError("compressed data is cut short or too large")
+    allowance.size -= len(data)
     return data
+
+
+def _unpack(data, allowance):
+    """Decodes msgpack data without building more values than are allowed."""
+
+    def count(container):
+        allowance.values -= len(container) + 1
+        if allowance.values < 0:
+            raise ValueError(f"more than {MAX_VALUES} values")
+        return container
+
+    return msgpack.unpackb(
+        data,
+        list_hook=count,
+        object_hook=count,
+        max_array_len=MAX_CONTAINER_VALUES,
+        max_map_len=MAX_CONTAINER_VALUES,
+    )
