Read at most 4 MiB of a peer's update

An update without end was read up to 16 MiB, and held twice when it was handed on (buffer and body). Three relays and a peer that is asked without the store may send one at the same time: 119 MB resident were measured in a process that takes 33 MB at rest, before any view or request. The refusal was logged as "status 200".

The bound is now 4 MiB: the update of a view with a configuration of 1,044,144 bytes (9,000 routes), 2,400 instances and 4,000 servers has 573,768 bytes. The refusal names the bound in `peer_failed`; the link is closed, and the next relay or the store is asked.

--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -11,7 +11,6 @@
 import urllib.parse
 
 from flamingolift_model import Fault, ResultCode
-from flamingolift_wire.codec import MAX_DOCUMENT_BYTES
 
 from flamingolift_front import bytestream, httpcall, peerlink
 from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
@@ -41,8 +40,9 @@
 MAX_WAIT_S = 15.0
 """Longest time for which a peer's request waits for changes (s), below the idle
 timeout of its connection."""
-MAX_UPDATE_BYTES = 16 * MAX_DOCUMENT_BYTES
-"""Largest update that is accepted (bytes)."""
+MAX_UPDATE_BYTES = 4 << 20
+"""Largest update that is accepted (bytes). It is compressed, and four peers may send
+one at the same time, while each is held twice."""
 
 
 async def serve_view(front, target):
@@ -154,7 +154,10 @@
     await bytestream.wait_readable(link.stream)
     began = time.monotonic()
     response = await httpcall.read_response(call, httpcall.accept_any, MAX_UPDATE_BYTES)
-    if response.status != 200 or not response.complete:
+    if not response.complete:
+        limit = f"an update of more than {MAX_UPDATE_BYTES} bytes"
+        raise httpcall.InvalidResponseError(limit)
+    if response.status != 200:
         raise httpcall.InvalidResponseError(f"status {response.status}")
     if not httpcall.is_reusable(call):
         peerlink.close_link(link)
--- a/packages/front/src/flamingolift_front/tests/test_endless_updates.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_updates.py
@@ -49,6 +49,7 @@
 
 
 MESSAGES = {
+    "body": lambda: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
     "zeros": lambda: make_update(bytes(40 << 20)),
     "maps": lambda: make_update(b"\xdd" + MAPS.to_bytes(4, "big") + b"\x80" * MAPS),
     "nested": lambda: make_update(
@@ -97,3 +98,10 @@
     assert all(isinstance(result, peerlink.PeerError) for result in results), results
     assert all(link.stream is None for link in links)
     assert peak < LIMIT_BYTES
+
+
+# Guards against a refusal that does not tell the operator what was refused.
+async def test_refusal_of_a_large_update_names_the_limit():
+    async with start_peer(MESSAGES["body"]()) as address:
+        with pytest.raises(peerlink.PeerError, match=str(peersync.MAX_UPDATE_BYTES)):
+            await peersync.fetch_update(make_front(), peerlink.PeerLink(address), 0.0)
