Bound the requests that control connections hold together

Requests on the control ports (ready, look-ups, peers, metrics) were bounded each, not together: 2,000 connections with an unfinished head of 15,000 bytes took a process from 33 to 105 MB resident, 500 with an unfinished report of 262,000 bytes (the peers' largest) to 207 MB; the smallest machine has 152 MB.

The bytes of unanswered requests are now counted as they arrive, beyond the first 2,048 of each, and may be 8 MiB together (32 of the largest reports); they are drawn on the process's byte budget too. The connection whose bytes would exceed it is closed, and `control_request_refused` says whose and how many. Ordinary requests are never counted, so a look-up or a poll is answered whatever other connections hold.

--- a/packages/front/src/flamingolift_front/lookups.py
+++ b/packages/front/src/flamingolift_front/lookups.py
@@ -1,12 +1,13 @@
 """Instance look-ups for callers, readiness, and the server of the control ports."""
 
+import functools
 import time
 
 import h11
 from flamingolift_decisions.hashing import rendezvous_order
 from flamingolift_model import Fault, ResultCode
 
-from flamingolift_front import bytestream
+from flamingolift_front import bytestream, controlbytes
 from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
 from flamingolift_front.frontmetrics import render_metrics
 from flamingolift_front.responses import problem_response, text_response
@@ -65,15 +66,22 @@
             argument (bytes); 0 for a handler without one.
     """
     parser = h11.Connection(h11.SERVER)
+    request = controlbytes.RequestBytes()
+    stream.on_data = functools.partial(controlbytes.count_bytes, front, stream, request)
+    controlbytes.restart_count(front, request, len(stream.buffer))
     try:
         while await _serve_request_in_time(
             front, stream, parser, handler, max_body_bytes
         ):
             parser.start_next_cycle()
+            waiting = len(parser.trailing_data[0]) + len(stream.buffer)
+            controlbytes.restart_count(front, request, waiting)
     except (TimeoutError, ConnectionError, h11.ProtocolError):
         # Control requests have no side effects, so the client can retry.
         front.metrics.requests.labels("control", "broken").inc()
     finally:
+        stream.on_data = None
+        controlbytes.restart_count(front, request, 0)
         bytestream.close(stream)
 
 
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -36,6 +36,9 @@
 
 MAX_TIMED_ROUTES = 1024
 """Routes whose response times are kept; beyond that all of them are discarded."""
+MAX_CONTROL_BYTES = 8 << 20
+"""Bytes that unanswered requests on the control ports may hold together: 32 reports of
+the largest size of peers at once."""
 
 
 class ViewChange:
@@ -235,6 +238,7 @@
         failed_grantors: Map of instance id to the time until which it is not asked for
             grants (s, monotonic).
         byte_budget: ByteBudget of what its buffers hold.
+        control_budget: ByteBudget of the requests on its control ports.
         rng: Random number generator for jitter.
         stopping: Whether the stop signal has arrived.
         exit_at: Time at which the process ends in a planned stop (s, monotonic);
@@ -250,6 +254,7 @@
         "cfg",
         "connections",
         "connects",
+        "control_budget",
         "crashes",
         "exit_at",
         "failed_grantors",
@@ -300,6 +305,7 @@
         self.grant_links = {}
         self.failed_grantors = {}
         self.byte_budget = ByteBudget()
+        self.control_budget = ByteBudget(MAX_CONTROL_BYTES)
         self.rng = random.Random()
         self.stopping = False
         self.exit_at = math.inf
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -30,6 +30,11 @@
         "requests",
         "cause",
     ),
+    "control_request_refused": (
+        "peer",
+        "bytes",
+        "held",
+    ),
     "log_lines_dropped": ("counts",),
     "store_lost": (
         "call",
