Read at most 64 KiB of a peer's short reply

A reply to a short question may now have 64 KiB, the record of a peer that is compared 512 KiB (64 ends with 64 suspects each). A longer one is a failed peer: the link is closed, `peer_failed` or the grantor's failure names the bound, and the peer is not asked for some time, as before.

--- a/packages/front/src/flamingolift_front/crashsync.py
+++ b/packages/front/src/flamingolift_front/crashsync.py
@@ -55,6 +55,9 @@
 """Ends in one message; the rest follows with the next comparisons."""
 MAX_REPORT_BYTES = 1 << 18
 """Largest message (bytes)."""
+MAX_RECORD_BYTES = 1 << 19
+"""Largest reply of a peer that tells of its record (bytes): `MAX_REPORTS` ends with
+64 suspects each, and its exceptions."""
 
 
 async def spread_crashes(front):
@@ -154,13 +157,14 @@
     silent_s = SILENT_S
     try:
         with peerlink.failures_as_peer_errors(link):
+            size = MAX_RECORD_BYTES if message is None else peerlink.MAX_REPLY_BYTES
             call, response = await peerlink.exchange(
-                link, target, CALL_TIMEOUT_S, message
+                link, target, CALL_TIMEOUT_S, message, size
             )
             if response.status == 404:
                 silent_s = UNSUPPORTED_S
                 raise httpcall.InvalidResponseError("its build has no crash reports")
-            if response.status != 200 or not response.complete:
+            if response.status != 200:
                 raise httpcall.InvalidResponseError(f"status {response.status}")
     except peerlink.PeerError as exc:
         front.crashes.silent_until[entry.instance_id] = time.monotonic() + silent_s
--- a/packages/front/src/flamingolift_front/peerlink.py
+++ b/packages/front/src/flamingolift_front/peerlink.py
@@ -25,6 +25,9 @@
 CONNECT_TIMEOUT_S = 0.4
 """Longest time for a connection to a peer (s)."""
 
+MAX_REPLY_BYTES = 1 << 16
+"""Largest reply to a short question (bytes), many of which may be asked at once."""
+
 
 class PeerError(Exception):
     """A peer did not respond, sent an invalid response, or has nothing to offer."""
@@ -108,7 +111,7 @@
     return httpcall.open_call(link.stream, b"POST", target.encode(), headers, body)
 
 
-async def exchange(link, target, timeout_s, body=None):
+async def exchange(link, target, timeout_s, body=None, max_bytes=MAX_REPLY_BYTES):
     """Sends a request to a peer and reads the response.
 
     Args:
@@ -116,6 +119,7 @@
         target: Request target (str).
         timeout_s: Longest time for all of it (s).
         body: Body (bytes), or None for a GET request.
+        max_bytes: Largest body of the response (bytes).
 
     Returns:
         Tuple of the HttpCall and the HttpResponse.
@@ -129,7 +133,10 @@
         await open_link(link)
         is_get = body is None
         call = open_get(link, target) if is_get else open_post(link, target, body)
-        return call, await httpcall.read_response(call, httpcall.accept_any)
+        response = await httpcall.read_response(call, httpcall.accept_any, max_bytes)
+        if not response.complete:
+            raise httpcall.InvalidResponseError(f"more than {max_bytes} bytes")
+        return call, response
 
 
 @contextlib.contextmanager
