Bound the store's and the instances' answers for the daemon and the commands

The daemon and the operator's commands read answers of the store, and the commands those of instances, whole and without a limit: an answer without end took memory until the call's timeout, at 64 instances at a time, and one of some 65 KB that is compressed took 64 MB and more.

Bodies are now read by one function with a limit: 16 MiB of the store, 4 MiB for a page of the operator API, 16 MiB for an explanation.

--- a/packages/cli/src/flamingolift_cli/explainpath.py
+++ b/packages/cli/src/flamingolift_cli/explainpath.py
@@ -6,12 +6,16 @@
 import aiohttp
 import click
 from flamingolift_model import RESULT_CODE_INFO, ResultCode
+from flamingolift_wire.bodies import read_body
 
 __all__ = ["explain_request_path", "hold_request", "list_held", "release_request"]
 
 QUERY_TIMEOUT_S = 3.0
 """Timeout of the query (s): an operator may have a caller waiting on the phone."""
 
+MAX_PAGE_BYTES = 16 << 20
+"""Size limit of the reply (bytes)."""
+
 
 async def _query_front(address, query, path="/explain"):
     timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
@@ -19,10 +23,11 @@
         aiohttp.ClientSession(timeout=timeout) as session,
         session.get(f"http://{address}{path}", params=query) as reply,
     ):
+        page = await read_body(reply, MAX_PAGE_BYTES)
         if reply.status == 400:
-            raise click.UsageError((await reply.json(content_type=None))["detail"])
+            raise click.UsageError(json.loads(page)["detail"])
         reply.raise_for_status()
-        return await reply.json()
+        return json.loads(page)
 
 
 def _ask_front(address, query, path="/explain"):
--- a/packages/cli/src/flamingolift_cli/operatorclient.py
+++ b/packages/cli/src/flamingolift_cli/operatorclient.py
@@ -1,12 +1,14 @@
 """Client of the live list and of the instances' operator API."""
 
 import asyncio
+import json
 import time
 
 import aiohttp
 from expression import Error, Ok, Result
 from flamingolift_model import Fault, ResultCode
 from flamingolift_model.plan import LiveList
+from flamingolift_wire.bodies import read_body
 from flamingolift_wire.codec import decode_document
 from flamingolift_wire.storeclient import watch_live_list
 
@@ -16,6 +18,8 @@
 POLL_INTERVAL_S = 0.1
 MAX_PARALLEL = 64
 """Limit on concurrent queries to instances."""
+MAX_PAGE_BYTES = 4 << 20
+"""Size limit of a page (bytes), `MAX_PARALLEL` of which may be read at once."""
 
 
 async def read_live_list(store) -> Result:
@@ -46,7 +50,7 @@
     timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
     try:
         async with session.get(url, headers=headers, timeout=timeout) as resp:
-            page = await resp.json(content_type=None)
+            page = json.loads(await read_body(resp, MAX_PAGE_BYTES))
     except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
         detail = f"{entry.instance_id}: {type(exc).__name__}"
         return Error(Fault(ResultCode.PEER_UNREACHABLE, detail))
--- a/packages/wire/src/flamingolift_wire/storeclient.py
+++ b/packages/wire/src/flamingolift_wire/storeclient.py
@@ -4,6 +4,8 @@
 from expression import Error, Ok, Result
 from flamingolift_model import Fault, ResultCode
 
+from flamingolift_wire.bodies import read_body
+
 __all__ = [
     "StoreClient",
     "StoredValue",
@@ -19,6 +21,10 @@
 WATCH_WAIT_S = 25.0
 """Time for which the store holds one watch call open (s)."""
 
+MAX_RESPONSE_BYTES = 16 << 20
+"""Size limit of a response (bytes): a listing of the loads that 2,400 instances write,
+or several versions of a value of 1 MB."""
+
 
 class StoredValue:
     """A key of the store with its value.
@@ -80,7 +86,7 @@
         async with store.session.request(
             method, store.url + path, timeout=timeout, **options
         ) as resp:
-            body = await resp.read()
+            body = await read_body(resp, MAX_RESPONSE_BYTES)
             if resp.status >= 500:
                 detail = f"status {resp.status}"
                 return Error(Fault(ResultCode.STORE_UNAVAILABLE, detail))
