--- a/packages/front/src/flamingolift_front/tests/test_endless_replies.py
+++ b/packages/front/src/flamingolift_front/tests/test_endless_replies.py
@@ -1,11 +1,13 @@
 """Peers whose replies to short questions are without end."""
 
 import asyncio
+import itertools
 import tracemalloc
 
 import pytest
-from flamingolift_front import crashsync, peerlink
+from flamingolift_front import crashsync, httpcall, peerlink
 from frontviews import make_entry, make_front
+from test_endless_heads import make_call
 from test_endless_updates import MESSAGES, start_peer
 
 ASKED_AT_ONCE = 64
@@ -53,3 +55,29 @@
         body = await crashsync.call_peer(make_front(), make_entry(1), link, "/crashes")
         peerlink.close_link(link)
     assert body == bytes(size)
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDS = {
+    "trailers": (CHUNKED + b"1\r\na\r\n0\r\n", b"a: b\r\n" * 512),
+    "one trailer": (CHUNKED + b"1\r\na\r\n0\r\na: ", b"b" * 4096),
+    "chunk extension": (CHUNKED + b"1;a=", b"b" * 4096),
+    "chunk size": (CHUNKED, b"0" * 4096),
+}
+SEVERAL_HEADS = 4 * httpcall.MAX_HEAD_BYTES
+
+
+# Guards against parts of a response that no bound of heads or bodies covers.
+@pytest.mark.parametrize("name", ENDS)
+async def test_parts_of_a_response_without_end_are_refused(name):
+    start, piece = ENDS[name]
+    call = make_call(start)
+    reading = asyncio.create_task(httpcall.read_response(call, httpcall.accept_any))
+    for sent in itertools.count(len(start), len(piece)):
+        await asyncio.sleep(0)
+        if reading.done() or sent > SEVERAL_HEADS:
+            break
+        call.stream.data_received(piece)
+    with pytest.raises(httpcall.InvalidResponseError):
+        await asyncio.wait_for(reading, 1.0)
+    assert sent <= SEVERAL_HEADS
