--- a/standins/src/flamingolift_standins/platformserver.py
+++ b/standins/src/flamingolift_standins/platformserver.py
@@ -58,6 +58,10 @@
             response), "fail" (500), the bytes to send as the response, or a
             function of the ServedRequest that returns an iterable of bytes, which
             may have no end.
+        make_body: Function of the ServedRequest that returns the body of a response
+            of status 200 (bytes); None for the default.
+        refuses: Function of a caller's TCP port that returns whether connections from
+            it are reset, as on a path that is cut; None refuses none.
         connections: Set of the writers of open connections.
         server: asyncio server.
     """
@@ -69,7 +73,9 @@
         "ended_at",
         "leaving",
         "limit",
+        "make_body",
         "port",
+        "refuses",
         "requests",
         "retry_after",
         "script",
@@ -89,6 +95,8 @@
         self.retry_after = None
         self.requests = []
         self.script = {}
+        self.make_body = None
+        self.refuses = None
         self.connections = set()
         self.server = None
         self.port = 0
@@ -99,6 +107,10 @@
     state = PlatformServer(server_id, work_s)
 
     async def serve(reader, writer):
+        port = writer.get_extra_info("peername")[1]
+        if state.refuses is not None and state.refuses(port):
+            writer.transport.abort()
+            return
         state.connections.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while await _serve_request(state, reader, writer):
@@ -222,6 +234,8 @@
 
 def _send_response(state, writer, request, action):
     body = b"answer of " + state.server_id.encode()
+    if state.make_body is not None:
+        body = state.make_body(request)
     fields = ["Server-Seal: sealed", *_state_fields(state)]
     message = _response(request, 200, body, fields)
     if isinstance(action, bytes):
--- a/standins/src/flamingolift_standins/platformstore.py
+++ b/standins/src/flamingolift_standins/platformstore.py
@@ -24,6 +24,8 @@
     "take_copy",
 ]
 
+SLOW_S = 0.4
+"""Delay of each response in the mode "slow" (s)."""
 EXPIRY_CHECK_INTERVAL_S = 0.05
 """Time between checks for expired leases (s)."""
 PAGE_ITEMS = 50
@@ -41,8 +43,8 @@
         first_revision: Revision after which the history is complete.
         leases: Map of lease id to [time to live (s), expiry (s, monotonic clock)].
         lease_ids: Counter of lease ids.
-        mode: "up", "busy" (responds 503), "reset" (resets connections) or "silent"
-            (does not respond).
+        mode: "up", "slow" (responds late), "busy" (responds 503), "reset" (resets
+            connections) or "silent" (does not respond).
         port_modes: Map of an additional port to its own mode.
         stalls: Number of calls of `stall_watches`.
         missed_by_new_watches: Whether a new watch misses the changes made between the
@@ -217,6 +219,8 @@
             return web.Response(status=500)
         if mode == "silent":
             await asyncio.sleep(3600.0)
+        if mode == "slow":
+            await asyncio.sleep(SLOW_S)
         response = await handler(request)
         response.headers["Store-Era"] = str(store.era)
         return response
