--- a/bench/soaking/checks.py
+++ b/bench/soaking/checks.py
@@ -74,6 +74,7 @@
         code = boot.front.process.returncode
         if boot.stop_at is not None:
             took_s = boot.exited_at - boot.stop_at
+            took_s -= _lag_between(run, boot.stop_at, boot.exited_at)
             frozen = any(end >= boot.stop_at for _begin, end in boot.frozen)
             if code != 0 or (took_s > GRACE_S + GRACE_SLACK_S and not frozen):
                 detail = f"{boot.front.name}: exit {code} after {took_s:.2f} s"
@@ -171,6 +172,7 @@
     stopping = boot.stop_at is not None and call.ended_at >= boot.stop_at
     where = "in a planned stop" if stopping else "away from a stop"
     waited_s = call.ended_at - call.sent_at
+    waited_s -= _lag_between(run, call.sent_at, call.ended_at)
     detail = f"{_describe(call)} {where}, {waited_s:.3f} s after its last byte"
     if call.end == "short" and reached and not sound:
         return
@@ -183,6 +185,13 @@
         yield Finding("lost", f"{detail}, no record that it was read", call.ended_at)
 
 
+def _lag_between(run, begin, end):
+    """Returns how late this process may have acted or noticed in a span (s)."""
+    return sum(
+        lag_s for since, until, lag_s in run.lags if since <= end and until >= begin
+    )
+
+
 def _is_sound(run, call, server, _request):
     key = (server.server_id, call.rid)
     return key not in run.unsound and run.actions.get(key, "") in INTACT
