--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/model packages/decisions packages/wire packages/front packages/daemon packages/cli platform standins
 
-.PHONY: bite spin setup test lint demo bench soak generate
+.PHONY: bite spin setup test lint demo bench soak soak-processes generate
 
 setup: $(VENV)/.ready
 
@@ -33,6 +33,11 @@
 soak: setup
 	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest packages
 
+SEED ?= 1
+RUNS ?= 10
+soak-processes: setup
+	$(BIN)/python -m bench.soak --seed $(SEED) --runs $(RUNS)
+
 demo: setup
 	$(BIN)/python bench/demo.py
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,6 +12,7 @@
 
 import click
 
+from bench.soaking.events import EVENTS
 from bench.soaking.play import play_run, summarize
 
 OUT = pathlib.Path(__file__).parent / "out"
@@ -22,7 +23,9 @@
 @click.option("--runs", default=1, help="Number of runs, with consecutive seeds.")
 @click.option("--instances", default=0, help="Instances; 0 for 4 to 6, by the seed.")
 @click.option("--seconds", default=15.0, help="Time in which events start (s).")
-def main(seed, runs, instances, seconds):
+@click.option("--build", help="Module search path of another build of the instances.")
+@click.option("--without", multiple=True, type=click.Choice(sorted(EVENTS)))
+def main(seed, runs, instances, seconds, build, without):
     """Plays runs; the exit status is 1 if a promise was not kept."""
     failed = []
     for number in range(seed, seed + runs):
@@ -32,7 +35,14 @@
         began = time.monotonic()
         count = instances or 4 + number % 3
         run, findings = asyncio.run(
-            play_run(folder, number, instances=count, duration_s=seconds)
+            play_run(
+                folder,
+                number,
+                instances=count,
+                duration_s=seconds,
+                event_names=set(EVENTS) - set(without),
+                search_path=build,
+            )
         )
         report = summarize(run, findings)
         (folder / "report.txt").write_text(report + "\n", encoding="utf-8")
--- a/bench/soaking/events.py
+++ b/bench/soaking/events.py
@@ -23,7 +23,7 @@
 )
 from integration.platformfleet import put_server
 
-__all__ = ["run_events"]
+__all__ = ["EVENTS", "run_events"]
 
 GRACE_S = 3.0
 """Grace time in the instances' settings (s)."""
@@ -33,6 +33,8 @@
 """Time after a start from which SIGHUP is sent (s)."""
 DRAIN_S = 2.5
 """Time for which a server that leaves goes on serving (s)."""
+SILENCE_S = 6.0
+"""Time after which silent watches have to be noticed (s)."""
 FAULTS = ["reject", "busy", "reset", "cut", "duplicate", "wrong_id", "garbage", "fail"]
 
 
@@ -161,14 +163,16 @@
     window[1] = time.monotonic()
 
 
-async def _lose_history(run, rng):
-    """Discards the store's history, or makes the waiting watches silent."""
-    if rng.random() < 0.5:
-        note(run, "store discards its history")
-        compact_history(run.fleet.store)
-        return
+async def _lose_history(run, _rng):
+    """Discards the store's history."""
+    note(run, "store discards its history")
+    compact_history(run.fleet.store)
+
+
+async def _silence_watches(run, _rng):
+    """Makes the waiting watches silent, as on connections that carry nothing more."""
     note(run, "waiting watches go silent")
-    run.store_windows.append([time.monotonic(), time.monotonic() + 6.0])
+    run.store_windows.append([time.monotonic(), time.monotonic() + SILENCE_S])
     stall_watches(run.fleet.store)
 
 
@@ -275,6 +279,7 @@
     "kill_server": _kill_server,
     "limit": _limit_server,
     "restore": _restore_store,
+    "silence": _silence_watches,
     "stop": _stop,
     "stop_again": _stop,
     "store": _disturb_store,
--- a/bench/soaking/play.py
+++ b/bench/soaking/play.py
@@ -127,7 +127,10 @@
     lines = [
         f"seed {run.seed}: {len(run.calls)} requests, {dict(sorted(ends.items()))}"
     ]
-    rates = [f"{cut} of {sent}" for cut, sent in count_cuts(run)]
+    rates = [
+        f"{cut} of {sent} ({1000 * cut / max(1, sent):.2f} per thousand)"
+        for cut, sent in count_cuts(run)
+    ]
     lines.append(f"cut beside changes {rates[0]}, away from them {rates[1]}")
     lag_s = max((lag[2] for lag in run.lags), default=0.0)
     lines.append(f"longest delay of the soak's own timers {lag_s:.2f} s")
