--- a/bench/soaking/events.py
+++ b/bench/soaking/events.py
@@ -36,7 +36,7 @@
 """Time for which a server that leaves goes on serving (s)."""
 SILENCE_S = 6.0
 """Time after which silent watches have to be noticed (s)."""
-FAULTS = ["reject", "busy", "reset", "cut", "duplicate", "wrong_id", "garbage", "fail"]
+FAULTS = ["reject", "reset", "cut", "duplicate", "wrong_id", "garbage", "fail"]
 
 
 async def run_events(run, rng, duration_s, names=None):
@@ -227,8 +227,17 @@
 
 async def _break_answers(run, rng):
     """Lets some answers of some servers be faults."""
+    await _inject(run, rng, rng.choice(FAULTS))
+
+
+async def _answer_busy(run, rng):
+    """Lets servers answer 503 to requests that they ran, without a word on that."""
+    await _inject(run, rng, "busy")
+
+
+async def _inject(run, rng, action):
     servers = rng.sample(sorted(run.fleet.servers), 3)
-    action, share = rng.choice(FAULTS), rng.uniform(0.05, 0.4)
+    share = rng.uniform(0.05, 0.4)
     note(run, f"{', '.join(servers)}: {action} on {share:.2f} of the requests")
     plans = [run.fleet.servers[name].script for name in servers]
     for plan in plans:
@@ -261,6 +270,7 @@
 
 EVENTS = {
     "break": _break_answers,
+    "busy": _answer_busy,
     "change": _change,
     "change_again": _change,
     "cut": _cut_instance,
