--- a/integration/test_soak.py
+++ b/integration/test_soak.py
@@ -10,6 +10,7 @@
 KNOWN_FAULTS = {"busy", "silence"}
 """Events that show known faults: a 503 of a server that ran a booking is passed on,
 and an instance whose watch goes silent hears of no change (review case 3)."""
+
 # Announces the close with the next answer, and drops the requests behind it.
 DROPS_THE_REST = """
 from flamingolift_front import readahead
@@ -58,6 +59,7 @@
         (DROPS_THE_REST, ["limit", "stop"], "lost"),
         (REPEATS_UNSAFE, ["break"], "twice"),
     ],
+    ids=["drops the rest", "repeats unsafe"],
 )
 async def test_broken_build_is_rejected(tmp_path, patch, events, check):
     (tmp_path / "sitecustomize.py").write_text(patch)
