Keep answers to many slow callers within the memory limit

Cause: the buffered part of each answer grew in the allocator's heap, and left gaps when it was released; send and read buffers of 64 KiB at each connection came on top, which nothing counts.

Bodies of answers above 64 KiB are now mappings of their own, as those of requests are, and connections queue and receive 16 KiB at a time.

--- a/integration/memoryload.py
+++ b/integration/memoryload.py
@@ -7,7 +7,7 @@
 
 from flamingolift_standins.platformstore import put_item
 
-from integration.platformfleet import HOST, call, put_server
+from integration.platformfleet import HOST, call
 
 __all__ = [
     "LargeServer",
@@ -25,6 +25,8 @@
 ANSWER_BYTES = (1 << 20) - 1000
 """Size of an answer that is just small enough to be buffered as a whole (bytes)."""
 PIECE_BYTES = 1 << 16
+SLOTS = 1000
+"""Slots of the server, so that its load bounds no case."""
 ROUTES = [
     ["r-read", HOST, "/read/", "safe", "5s", "reads", 3, False, [], None],
     ["r-book", HOST, "/book/", "unsafe", "5s", "reads", 2, False, [], None],
@@ -68,7 +70,13 @@
 
     state.server = await asyncio.start_server(serve, "127.0.0.1", 0)
     state.port = state.server.sockets[0].getsockname()[1]
-    put_server(fleet, state, "reads")
+    entry = {
+        "address": f"127.0.0.1:{state.port}",
+        "info": {"service": "reads", "version": "v1", "zone": "north", "slots": SLOTS},
+        "status": {"state": "ready", "seq": 1, "cold_left": "0ms"},
+        "born": 1,
+    }
+    put_item(fleet.store, f"servers/{server_id}", entry)
     return state
 
 
@@ -80,8 +88,10 @@
     state.served += 1
     body = bytes(ANSWER_BYTES if b" /read/" in head else 2)
     writer.write(
-        b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Load: 1,0,9\r\n"
-        b"Content-Length: %d\r\n\r\n" % (_field(head, b"request-id"), len(body)) + body
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Load: 1,0,%d\r\n"
+        b"Content-Length: %d\r\n\r\n"
+        % (_field(head, b"request-id"), SLOTS, len(body))
+        + body
     )
     await writer.drain()
 
@@ -150,7 +160,11 @@
 
 
 async def hold_answer(front, name, hold_s):
-    """Asks for a large answer and reads it only later; returns whether it was whole."""
+    """Asks for a large answer and reads it only later.
+
+    Returns:
+        "whole", the status of another answer, or the name of the error.
+    """
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.setblocking(False)
@@ -162,10 +176,12 @@
         await asyncio.sleep(hold_s)
         async with asyncio.timeout(20.0):
             head = await reader.readuntil(b"\r\n\r\n")
-            body = await reader.readexactly(ANSWER_BYTES)
-        return head.split()[1] == b"200" and len(body) == ANSWER_BYTES
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        return False
+            if head.split()[1] != b"200":
+                return int(head.split()[1])
+            await reader.readexactly(ANSWER_BYTES)
+        return "whole"
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
+        return type(exc).__name__
     finally:
         writer.transport.abort()
 
--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -7,6 +7,7 @@
 from flamingolift_front.timelimit import time_limit
 
 __all__ = [
+    "WRITE_HIGH_WATER_BYTES",
     "ByteStream",
     "PeerTimeoutError",
     "abort",
@@ -25,11 +26,13 @@
     "write_eof",
 ]
 
-READ_HIGH_WATER_BYTES = 1 << 15
+READ_HIGH_WATER_BYTES = 1 << 14
 """Buffered bytes from which the socket is no longer read. The kernel has buffers of its
 own, so that more would only add to the memory of many connections."""
 RECEIVE_BYTES = READ_HIGH_WATER_BYTES
 """Most bytes that are taken from a socket at a time."""
+WRITE_HIGH_WATER_BYTES = 1 << 14
+"""Queued bytes from which `flush` waits, besides those that the kernel has taken."""
 UNACKED_TIMEOUT_MS = 600
 """TCP_USER_TIMEOUT of a connection to a server (ms): long enough for two
 retransmissions between regions, and less than the usual timeout of a request."""
@@ -99,6 +102,7 @@
     def connection_made(self, transport):
         """Sets the socket options and calls `on_open`; called by the event loop."""
         self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         accepted = self.on_open is not None
         _set_user_timeout(
             transport, SLOW_READER_TIMEOUT_MS if accepted else UNACKED_TIMEOUT_MS
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -8,6 +8,7 @@
 
 from flamingolift_front import bytestream
 from flamingolift_front.heldbytes import extend_held, hold_now
+from flamingolift_front.spool import append_piece, make_spool, spooled_body
 
 __all__ = [
     "HttpCall",
@@ -30,9 +31,8 @@
 SPOOL_BYTES = 1 << 20
 """Largest body that is buffered completely before its first byte is passed on (bytes).
 Larger ones are streamed, and their requests are not retried."""
-SEND_PIECE_BYTES = 1 << 16
-"""Size of the pieces in which a body is sent (bytes): the high water of a send
-buffer."""
+SEND_PIECE_BYTES = bytestream.WRITE_HIGH_WATER_BYTES
+"""Size of the pieces in which a body is sent (bytes)."""
 UNCOUNTED_BYTES = 1 << 14
 """Size up to which a response is buffered without room in the budget (bytes), so that
 small ones are retried and their connections kept under pressure, too."""
@@ -75,7 +75,8 @@
         status: HTTP status.
         reason: Reason phrase (bytes).
         headers: List of (name, value), both bytes, as received.
-        body: Part of the body that has been read (bytes).
+        body: Part of the body that has been read (bytes, or memoryview in a call that
+            draws on a byte budget).
         complete: Whether `body` is the whole body.
         held: HeldBytes of `body`, or None.
     """
@@ -313,24 +314,26 @@
         InvalidResponseError: The response is malformed or cut short.
         ConnectionError: The connection broke off.
     """
-    body = bytearray(response.body)
+    body = make_spool(spool_bytes + 2 * SEND_PIECE_BYTES, response.body)
     if response.held is None and call.budget is not None:
         response.held = hold_now(call.budget)
     async for chunk in iter_body(call):
-        body += chunk
-        if len(body) > spool_bytes or not _has_room(response, body, chunk):
+        append_piece(body, chunk)
+        if body.used > spool_bytes or not _has_room(response, body.used, chunk):
             break
     else:
         response.complete = True
         _stop_sending(call)
-    response.body = bytes(body)
+    response.body = spooled_body(body)
+    if call.budget is None:
+        response.body = bytes(response.body)
 
 
-def _has_room(response, body, chunk):
+def _has_room(response, size, chunk):
     """Counts a chunk of a body as held; returns whether more may be buffered."""
     if response.held is None or extend_held(response.held, len(chunk)):
         return True
-    return len(body) <= UNCOUNTED_BYTES
+    return size <= UNCOUNTED_BYTES
 
 
 async def iter_body(call):
