--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -8,7 +8,7 @@
 
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
-from flamingolift_decisions.bytebudget import budget_for
+from flamingolift_decisions.bytebudget import ByteBudget, budget_for
 from flamingolift_decisions.instancecount import InstanceCount
 from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
@@ -307,7 +307,6 @@
         self.grant_links = {}
         self.failed_grantors = {}
         self.byte_budget = budget_for(cfg.memory_limit_mb)
-        self.byte_budget = ByteBudget()
         self.control_budget = ByteBudget(MAX_CONTROL_BYTES)
         self.rng = random.Random()
         self.stopping = False
