--- a/integration/test_early_signals.py
+++ b/integration/test_early_signals.py
@@ -46,7 +46,7 @@
 
     await wait_until(is_ready_or_gone, START_TIMEOUT_S)
     assert front.process.returncode is None
-    assert events(front, "settings_reloaded")
+    await wait_until(lambda: events(front, "settings_reloaded"))
     assert (await send(front, "GET", "/read/a")).status == 200
 
 
