Name no server in an instance's own answer to the one that handed on

Evidence: test_handover_fields.py::test_own_answer_names_no_server fails before and passes after; two further cases, test_passed_on_notices.py, test_helper_refusals.py and test_cut_off_answers.py pass.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -345,7 +345,7 @@
         answering.log_request(front, req, trace, fault.code.name, status, fault.detail)
         response = problem_response(fault)
         if conn.from_instance:
-            handoverfields.write_fields(response, trace)
+            handoverfields.write_fields(response, trace, is_own=True)
         await answering.send_response(front, conn, response, req.method)
         return "refused"
     if conn.from_instance:
--- a/packages/front/src/flamingolift_front/handoverfields.py
+++ b/packages/front/src/flamingolift_front/handoverfields.py
@@ -34,19 +34,20 @@
         self.started_ms = started_ms
 
 
-def write_fields(response, trace):
+def write_fields(response, trace, is_own=False):
     """Adds the fields to an answer.
 
     Args:
         response: HttpResponse, a server's or an own one.
         trace: Trace of the request.
+        is_own: Whether it is the instance's own answer.
     """
     received = [s for s in trace.sends if s.outcome not in _NOT_RECEIVED]
     _remove_fields(response)
     _add_field(response, _ATTEMPTS, str(len(received)))
     # The answer that is passed on is the last one.
     answered = [s for s in received if s.outcome is Outcome.ANSWERED]
-    if answered:
+    if answered and not is_own:
         send = answered[-1]
         _add_field(response, _SERVED_BY, f"{send.started_ms};{send.server_id}")
 
