Count the memory of an update's values, not their number

The estimated memory is counted instead: 80 bytes for a list or map and 40 for each element, 40 MB in all.

--- a/packages/front/src/flamingolift_front/viewupdates.py
+++ b/packages/front/src/flamingolift_front/viewupdates.py
@@ -21,9 +21,13 @@
 """Largest sum of the msgpack forms that are decompressed for one update (bytes). A
 value of the store, limited to 1 MB, grows several times when its column names are
 repeated; an update holds one such value and the entries of the fleet."""
-MAX_VALUES = 600_000
-"""Most values in the msgpack forms of one update: twice those of a policy of 9,000
-routes and 6,400 entries. Each takes up to 80 bytes, 48 MB in all."""
+MAX_VALUES_BYTES = 40_000_000
+"""Estimated memory of the values of one update (bytes), a quarter of the memory of the
+smallest instances; twice that of a policy of 9,000 routes and 6,400 entries."""
+CONTAINER_BYTES = 80
+"""Estimated memory of a list or map without its elements (bytes)."""
+ELEMENT_BYTES = 40
+"""Estimated memory of an element of a list or map (bytes)."""
 MAX_CONTAINER_VALUES = 1 << 16
 """Most values of one list or map, whose memory is allocated before they are read."""
 COMPRESS_FROM_BYTES = 2048
@@ -64,14 +68,14 @@
 
     Attributes:
         size: Bytes that may still be decompressed.
-        values: Values that may still be read.
+        values_bytes: Estimated memory that the values may still take (bytes).
     """
 
-    __slots__ = ("size", "values")
+    __slots__ = ("size", "values_bytes")
 
     def __init__(self):
         self.size = MAX_UNPACKED_BYTES
-        self.values = MAX_VALUES
+        self.values_bytes = MAX_VALUES_BYTES
 
 
 def encode_update(view, after, max_bytes):
@@ -236,9 +240,9 @@
     """Decodes msgpack data without building more values than are allowed."""
 
     def count(container):
-        allowance.values -= len(container) + 1
-        if allowance.values < 0:
-            raise ValueError(f"more than {MAX_VALUES} values")
+        allowance.values_bytes -= CONTAINER_BYTES + ELEMENT_BYTES * len(container)
+        if allowance.values_bytes < 0:
+            raise ValueError(f"values of more than {MAX_VALUES_BYTES} bytes")
         return container
 
     return msgpack.unpackb(
