Notice the silence of all relays of a region before a change is due

A follower now polls one of its relays with a wait of 0.5 s, as a heartbeat; the others keep their long polls. When the heartbeat fails, the others are probed, the next one that responds takes over, and if none does, the store is watched as before: at most 0.5 + 0.5 s for the heartbeat, 0.51 s for the probes. Polls without a change are repeated without the pause that collects changes. One request in half a second for each follower, spread over the relays by each follower's own order.

Two tests, red before (3 s).

--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -116,7 +116,9 @@
     return view.store_failed_at + RELAY_GRACE_S - time.monotonic()
 
 
-async def fetch_update(front, link, wait_s, max_bytes=0, on_progress=None):
+async def fetch_update(
+    front, link, wait_s, max_bytes=0, on_progress=None, margin_s=RESPONSE_TIMEOUT_S
+):
     """Requests an update from a peer.
 
     Args:
@@ -127,6 +129,7 @@
             (bytes); 0 for no limit.
         on_progress: Function called with the number of bytes of the response that
             arrived, or None.
+        margin_s: Longest time for the response to begin beyond that wait (s).
 
     Returns:
         ViewUpdate.
@@ -135,7 +138,7 @@
         PeerError: There is no usable response.
     """
     with peerlink.failures_as_peer_errors(link):
-        async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S) as timer:
+        async with asyncio.timeout(wait_s + margin_s) as timer:
             stream = await peerlink.open_link(link)
             bytestream.extend_while_receiving(
                 stream, timer, TRANSFER_IDLE_S, wait_s + TRANSFER_TIMEOUT_S, on_progress
--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -1,5 +1,10 @@
 """Follows the relays of a region: long polls, announcements and one transfer at a time.
 
+A relay that loses power or its path sends no reset, and a long poll to it looks like
+one without changes. One relay of each follower is therefore polled in short intervals,
+as a heartbeat. When it is silent, the others are probed, and the store is watched when
+they are silent too.
+
 Every relay reports a change at once. A large one is only announced, and each follower
 transfers it from one relay; the order in which it asks them is its own, so that the
 followers share out the relays' links. The next relay is asked when a transfer falls
@@ -26,6 +31,12 @@
 """Pause before a relay that failed is polled again (s)."""
 PROBE_WAIT_S = 0.01
 """Wait of a request that only probes whether a relay responds (s)."""
+HEARTBEAT_WAIT_S = 0.5
+"""Wait of the polls of the relay that serve as a heartbeat (s)."""
+HEARTBEAT_TIMEOUT_S = 0.5
+"""Longest time for the response to a heartbeat or a probe beyond its wait (s). With the
+wait, the probe and a call of the store it is below the shortest time in which a change
+must be in force, and longer than a relay needs to decode a large policy."""
 INLINE_BYTES = 8192
 """Size of the changes from which a relay only announces them (bytes): smaller ones take
 less time than a second request."""
@@ -113,14 +124,20 @@
     overdue = asyncio.ensure_future(_wait_overdue(front, following))
     restored = asyncio.ensure_future(_wait_behind_era(front))
     pending, failing = {}, set()
+    watched, seen = order[0], front.view.revision
     try:
         while [entry.instance_id for entry in current_relays(front)] == names:
             for entry in relays:
                 name = entry.instance_id
                 if name not in pending:
-                    pause = RELAY_RETRY_S if name in failing else 0.0
+                    pause_s = RELAY_RETRY_S if name in failing else 0.0
+                    wait_s, margin_s = peersync.MAX_WAIT_S, peersync.RESPONSE_TIMEOUT_S
+                    if name == watched:
+                        wait_s, margin_s = HEARTBEAT_WAIT_S, HEARTBEAT_TIMEOUT_S
                     link = _link_to(front, entry)
-                    poll = _poll_relay(front, following, link, ranks[name], pause)
+                    poll = _poll_relay(
+                        front, following, link, ranks[name], pause_s, wait_s, margin_s
+                    )
                     pending[name] = asyncio.ensure_future(poll)
             await asyncio.wait(
                 [overdue, restored, *pending.values()],
@@ -137,7 +154,14 @@
                     relay_failed = True
             if relay_failed and not await _any_relay_responds(front, relays, failing):
                 return FollowingEnd.RELAYS_FAILED
-            await asyncio.sleep(RELAY_PAUSE_S)
+            is_waiting = following.announced.is_set()
+            if watched in failing and len(failing) < len(order) and not is_waiting:
+                watched = next(name for name in order if name not in failing)
+                # Its long poll would hide its silence.
+                pending.pop(watched).cancel()
+            if front.view.revision != seen:
+                seen = front.view.revision
+                await asyncio.sleep(RELAY_PAUSE_S)
         return FollowingEnd.RELAYS_CHANGED
     finally:
         tasks = [overdue, restored, *pending.values()]
@@ -184,12 +208,12 @@
     return time.monotonic() - following.announced_at - PACE_S * done
 
 
-async def _poll_relay(front, following, link, rank, pause_s):
+async def _poll_relay(front, following, link, rank, pause_s, wait_s, margin_s):
     """Applies a relay's next update after a pause; returns whether it responded."""
     await asyncio.sleep(pause_s)
     try:
         update = await peersync.fetch_update(
-            front, link, peersync.MAX_WAIT_S, INLINE_BYTES
+            front, link, wait_s, INLINE_BYTES, margin_s=margin_s
         )
         if update.announced_bytes:
             _record_announcement(front.view, following, update)
@@ -270,7 +294,9 @@
 
 async def _probe_relay(front, link):
     try:
-        await peersync.fetch_update(front, link, PROBE_WAIT_S, INLINE_BYTES)
+        await peersync.fetch_update(
+            front, link, PROBE_WAIT_S, INLINE_BYTES, margin_s=HEARTBEAT_TIMEOUT_S
+        )
     except peerlink.PeerError as exc:
         _log_failure(front, link, exc)
         return False
--- a/packages/front/src/flamingolift_front/tests/test_relaysync.py
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -269,3 +269,35 @@
     assert end is relaysync.FollowingEnd.RELAYS_FAILED
     assert RELAY_GRACE_S <= time.monotonic() - started <= RELAY_GRACE_S + 0.5
     lost.cancel()
+
+
+# Guards against relays that lose power together: their followers act on an old view
+# until TCP gives the connections up after 3 s.
+async def test_silence_of_all_relays_is_noticed_before_a_change_is_due(region):
+    _follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    for relay in relays:
+        relay.link.bytes_per_s = 0.001
+    silent_at = time.monotonic()
+    end = await asyncio.wait_for(follow, 5.0)
+    assert end is relaysync.FollowingEnd.RELAYS_FAILED
+    # The rule allows 2.5 s, of which the store's answer takes a part.
+    assert time.monotonic() - silent_at < 2.0
+
+
+# Guards against a heartbeat that stays with a relay that is gone, so that the silence
+# of the others is noticed by their long polls alone.
+async def test_heartbeat_goes_on_to_a_relay_that_responds(region, change):
+    follower, relays, follow = region
+    await asyncio.sleep(0.2)
+    relays[0].link.bytes_per_s = 0.001
+    await asyncio.sleep(2.0)
+    assert not follow.done()
+    await publish(relays[1:], change, 2)
+    await wait_for_revision(follower, 11)
+    for relay in relays[1:]:
+        relay.link.bytes_per_s = 0.001
+    silent_at = time.monotonic()
+    end = await asyncio.wait_for(follow, 5.0)
+    assert end is relaysync.FollowingEnd.RELAYS_FAILED
+    assert time.monotonic() - silent_at < 2.0
