Leave room for small bodies beside answers to slow callers

Cause: buffered answers could fill the whole budget, so that small bodies waited for slow callers.

Answers are buffered up to half of the budget, and a tenth is left to small bodies. The uploads of this case are still refused with 503 or end with 504, which is not traced.

--- a/bench/memory.py
+++ b/bench/memory.py
@@ -90,6 +90,16 @@
     return run
 
 
+def _all_at_once():
+    parts = (_uploads_beside_policies(50, 22 * MIB), _slow_callers(500))
+
+    async def run(fleet, front):
+        counts = await asyncio.gather(*(part(fleet, front) for part in parts))
+        return sum(counts, collections.Counter())
+
+    return run
+
+
 CASES = {
     "idle": _trickles(0),
     "uploads-5x22": _uploads(5, 22 * MIB),
@@ -98,6 +108,7 @@
     "uploads-50x60": _uploads(50, 60 * MIB),
     "uploads-5x22-policies": _uploads_beside_policies(5, 22 * MIB),
     "slow-callers-500": _slow_callers(500),
+    "all-at-once": _all_at_once(),
     "length-over-limit-50": _uploads(50, 65 * MIB),
     "endless-bodies-20": _endless_bodies(20),
     "trickles-2000": _trickles(2000),
--- a/packages/decisions/src/flamingolift_decisions/bytebudget.py
+++ b/packages/decisions/src/flamingolift_decisions/bytebudget.py
@@ -18,12 +18,17 @@
     "can_ever_hold",
     "claim",
     "hold",
+    "may_buffer",
     "may_hold",
     "release",
 ]
 
 BODY_SHARE = 0.75
 """Part of the budget that large bodies of requests may fill (ratio)."""
+ANSWER_SHARE = 0.5
+"""Part of the budget up to which answers may be buffered (ratio)."""
+SMALL_SHARE = 0.1
+"""Part of the budget that answers and large bodies leave to small bodies (ratio)."""
 RESERVED_BYTES = 80_000_000
 """Memory of the interpreter, the code, the view and the decoding of a configuration of
 9,000 routes (bytes). The peak of these is 51 MB."""
@@ -117,9 +122,28 @@
         >>> may_hold(budget, 80), may_hold(budget, 80, is_body=True)
         (True, False)
     """
-    if is_body and budget.body_bytes + size > _share(budget, is_body):
+    if not is_body:
+        return _fits(budget, size, 1.0)
+    if budget.body_bytes + size > _share(budget, is_body):
         return False
-    return budget.body_bytes + budget.other_bytes + size <= budget.limit_bytes
+    return _fits(budget, size, 1.0 - SMALL_SHARE)
+
+
+def may_buffer(budget, size):
+    """Returns whether the budget has room for more bytes of answers.
+
+    Args:
+        budget: ByteBudget.
+        size: Number of bytes.
+    """
+    if budget.other_bytes + size > budget.limit_bytes * ANSWER_SHARE:
+        return False
+    return _fits(budget, size, 1.0 - SMALL_SHARE)
+
+
+def _fits(budget, size, share):
+    held = budget.body_bytes + budget.other_bytes
+    return held + size <= budget.limit_bytes * share
 
 
 def hold(budget, size, is_body=False):
--- a/packages/decisions/src/flamingolift_decisions/tests/test_bytebudget.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_bytebudget.py
@@ -10,6 +10,7 @@
     can_ever_hold,
     claim,
     hold,
+    may_buffer,
     may_hold,
     release,
 )
@@ -78,3 +79,13 @@
 def test_budget_leaves_room_for_the_process_itself():
     assert budget_for(152).limit_bytes == 152_000_000 - RESERVED_BYTES
     assert budget_for(60).limit_bytes == 15_000_000
+
+
+def test_answers_leave_room_for_bodies():
+    budget = ByteBudget(1000)
+    assert may_buffer(budget, 500) and not may_buffer(budget, 501)
+    hold(budget, 500)
+    assert may_hold(budget, 400, is_body=True)
+    hold(budget, 400, is_body=True)
+    assert not may_buffer(budget, 1) and not may_hold(budget, 1, is_body=True)
+    assert may_hold(budget, 100)
--- a/packages/front/src/flamingolift_front/heldbytes.py
+++ b/packages/front/src/flamingolift_front/heldbytes.py
@@ -41,7 +41,7 @@
 
 
 def extend_held(held, size):
-    """Holds more bytes if there is room.
+    """Holds more bytes of an answer if there is room.
 
     Args:
         held: HeldBytes.
@@ -50,11 +50,15 @@
     Returns:
         Whether they are held.
     """
-    if not bytebudget.may_hold(held.budget, size, held.is_body):
+    if not bytebudget.may_buffer(held.budget, size):
         return False
+    _take(held, size)
+    return True
+
+
+def _take(held, size):
     bytebudget.hold(held.budget, size, held.is_body)
     held.size += size
-    return True
 
 
 def shrink_held(held, size):
@@ -81,7 +85,8 @@
         HeldBytes, or None when there was no room in time.
     """
     held = HeldBytes(budget, 0, is_body)
-    if not budget.claims and extend_held(held, size):
+    if not budget.claims and bytebudget.may_hold(budget, size, is_body):
+        _take(held, size)
         return held
     room = asyncio.Event()
 
