--- a/bench/soaking/callers.py
+++ b/bench/soaking/callers.py
@@ -144,7 +144,7 @@
     sending = asyncio.create_task(_send_all(rng, writer, calls))
     stays, close_seen_at = True, None
     for position, call in enumerate(calls):
-        call.behind, call.close_seen_at = position > 0, close_seen_at
+        call.close_seen_at = close_seen_at
         if not stays:
             # The connection has ended; the answers before this one were the last.
             call.end, call.ended_at = calls[position - 1].end, time.monotonic()
--- a/bench/soaking/records.py
+++ b/bench/soaking/records.py
@@ -34,14 +34,12 @@
         status: Status, 0 without an answer.
         fields: Map of lower-case name to value of the answer's header.
         answer: Body of the answer (bytes).
-        behind: Whether an earlier request on its connection had no answer yet.
         close_seen_at: Time at which an earlier answer announced the close (s,
             monotonic), or None.
     """
 
     __slots__ = (
         "answer",
-        "behind",
         "body",
         "boot",
         "close_seen_at",
@@ -67,7 +65,6 @@
         self.status = 0
         self.fields = {}
         self.answer = b""
-        self.behind = False
         self.close_seen_at = None
 
 
