End a deferred removal together with its entry; pass over a full instance

An instance that refuses a handed-on body for lack of memory (2012) is passed over like one without a path; red: 503 though another instance had room.

--- a/integration/test_helper_refusals.py
+++ b/integration/test_helper_refusals.py
@@ -5,6 +5,7 @@
 import pytest
 from cutsites import REFUSE, ROUTES, cut_paths, run_cut_site, send, served, wait_until
 from flamingolift_decisions import routetable
+from flamingolift_decisions.bytebudget import ByteBudget
 from flamingolift_front import handover
 from flamingolift_model.routing import RequestLimits, RoutingPolicy
 
@@ -122,3 +123,13 @@
     assert status == 503
     assert b"Request-Outcome: not-run" in data
     assert len(served(site)) - before <= 3
+
+
+# Guards against a refusal of an instance that has no memory for a body, while another
+# one has room.
+async def test_instance_without_memory_is_passed_over(site):
+    first = await ask_both(site)
+    site.instances[1].front.byte_budget = ByteBudget(0)
+    for number in range(12):
+        status, _data = await send(first, "POST", "/book/a", number=number, body=b"x")
+        assert status == 200
--- a/packages/front/src/flamingolift_front/handover.py
+++ b/packages/front/src/flamingolift_front/handover.py
@@ -48,6 +48,7 @@
     for code in (
         ResultCode.CUT_OFF,
         ResultCode.INTERNAL_NOT_RUN,
+        ResultCode.MEMORY_FULL,
         ResultCode.NO_BACKEND,
         ResultCode.DRAINING,
         ResultCode.NOT_READY,
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -359,13 +359,13 @@
     due = front.view.pending_removals.get(key)
     if due is None or time.monotonic() < due - 0.01:
         return
-    del front.view.pending_removals[key]
     _remove(front, key, "lapsed")
     _apply_evacuations(front)
 
 
 def _remove(front, key, cause):
     view = front.view
+    view.pending_removals.pop(key, None)
     document = view.documents.pop(key)
     now = time.monotonic()
     view.gone.pop(key, None)
