--- a/packages/front/src/flamingolift_front/answering.py
+++ b/packages/front/src/flamingolift_front/answering.py
@@ -8,12 +8,13 @@
 
 import h11
 
-from flamingolift_front import bytestream, crashwatch, forwarding, httpcall
+from flamingolift_front import bytestream, crashwatch, forwarding, httpcall, readahead
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.fingerprints import fingerprint_of
 from flamingolift_front.httpcall import header
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
+from flamingolift_front.state import note_streamed
 
 __all__ = [
     "cancelled_by_end",
@@ -107,6 +108,7 @@
     if forwarded.call is None:
         await send_response(front, conn, forwarded.response, req.method)
         return
+    note_streamed(front, conn.trace.route)
     cut_at = req.deadline_at + forwarding.DEADLINE_GRACE_S
     outcome = Outcome.CANCELLED
     try:
@@ -162,10 +164,12 @@
     coded = header(response.headers, "transfer-encoding") is not None
     framing = (b"content-length",) if coded else ()
     headers = httpcall.strip_hop_headers(response.headers, framing)
-    data = _encode_head(front, conn, response, headers)
-    data += conn.parser.send(h11.Data(data=response.body))
+    data = _encode_head(conn, response, headers)
     conn.responding = True
     bytestream.write(conn.stream, data)
+    await _send_pieces(conn, response.body)
+    # It is sent, and no longer held while the rest follows.
+    response.body, response.held = b"", None
     async for chunk in httpcall.iter_body(forwarded.call):
         bytestream.write(conn.stream, conn.parser.send(h11.Data(data=chunk)))
         await bytestream.flush(conn.stream)
@@ -173,7 +177,9 @@
 
 
 async def send_response(front, conn, response, method=b"GET"):
-    """Sends a complete response.
+    """Sends a complete response; announces the close while the instance stops.
+
+    Requests that have arrived behind it are answered before the close.
 
     Args:
         front: Front.
@@ -191,23 +197,50 @@
     headers = httpcall.strip_hop_headers(response.headers, framing)
     if has_body:
         headers.append((b"Content-Length", str(len(response.body)).encode()))
-    data = _encode_head(front, conn, response, headers)
-    if response.body and has_body:
-        data += conn.parser.send(h11.Data(data=response.body))
-    data += conn.parser.send(h11.EndOfMessage())
+    body = response.body if has_body else b""
+    # A larger one takes so long that requests may arrive behind it.
+    is_small = len(body) <= httpcall.SEND_PIECE_BYTES
+    if front.stopping and is_small and not readahead.has_requests_behind(conn):
+        conn.closing = True
+    if conn.closing:
+        headers.append((b"Connection", b"close"))
+    data = _encode_head(conn, response, headers)
     conn.responding = True
-    bytestream.write(conn.stream, data)
+    if not is_small:
+        bytestream.write(conn.stream, data)
+        await _send_pieces(conn, body, is_whole=True)
+        data = b""
+    elif body:
+        data += conn.parser.send(h11.Data(data=body))
+    bytestream.write(conn.stream, data + conn.parser.send(h11.EndOfMessage()))
     await bytestream.flush(conn.stream)
 
 
-def _encode_head(front, conn, response, headers):
-    """Encodes a response's head; announces the close while the instance stops.
+async def _send_pieces(conn, body, is_whole=False):
+    """Sends a part of an answer in pieces, each when the send buffer has room for it.
 
-    Requests that were started early are answered before the close.
+    Args:
+        conn: CallerConnection.
+        body: Bytes.
+        is_whole: Whether they are the whole body, of which the rest is queued at once
+            when the instance stops.
     """
-    if front.stopping and all(exchange.task is None for exchange in conn.ahead):
-        conn.closing = True
-        headers.append((b"Connection", b"close"))
+    rest = memoryview(body)
+    try:
+        while rest:
+            piece = rest[: httpcall.SEND_PIECE_BYTES]
+            rest = rest[len(piece) :]
+            bytestream.write(conn.stream, conn.parser.send(h11.Data(data=piece)))
+            await bytestream.flush(conn.stream)
+    except asyncio.CancelledError:
+        if is_whole and not conn.stream.ended:
+            data = conn.parser.send(h11.Data(data=rest)) if rest else b""
+            data += conn.parser.send(h11.EndOfMessage())
+            bytestream.write(conn.stream, data)
+        raise
+
+
+def _encode_head(conn, response, headers):
     head = h11.Response(
         status_code=response.status, headers=headers, reason=response.reason
     )
--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -7,16 +7,21 @@
 from flamingolift_front.timelimit import time_limit
 
 __all__ = [
+    "WRITE_HIGH_WATER_BYTES",
     "ByteStream",
+    "InputHeldError",
     "PeerTimeoutError",
     "abort",
     "close",
     "connect",
     "extend_while_receiving",
     "flush",
+    "hold_input",
     "peer_host",
     "read",
     "read_before",
+    "read_more",
+    "release_input",
     "wait_closed",
     "wait_readable",
     "wait_readable_before",
@@ -25,8 +30,13 @@
     "write_eof",
 ]
 
-READ_HIGH_WATER_BYTES = 1 << 18
-"""Buffered bytes from which the socket is no longer read; four default TCP windows."""
+READ_HIGH_WATER_BYTES = 1 << 14
+"""Buffered bytes from which the socket is no longer read. The kernel has buffers of its
+own, so that more would only add to the memory of many connections."""
+RECEIVE_BYTES = READ_HIGH_WATER_BYTES
+"""Most bytes that are taken from a socket at a time."""
+WRITE_HIGH_WATER_BYTES = 1 << 14
+"""Queued bytes from which `flush` waits, besides those that the kernel has taken."""
 UNACKED_TIMEOUT_MS = 600
 """TCP_USER_TIMEOUT of a connection to a server (ms): long enough for two
 retransmissions between regions, and less than the usual timeout of a request."""
@@ -45,7 +55,15 @@
     """Bytes were not acknowledged in time, or keep-alive probes not answered."""
 
 
-class ByteStream(asyncio.Protocol):
+class InputHeldError(Exception):
+    """No more input is taken, and what has arrived is not complete."""
+
+
+_received = memoryview(bytearray(RECEIVE_BYTES))
+"""Buffer into which all sockets are read, one after the other."""
+
+
+class ByteStream(asyncio.BufferedProtocol):
     """State of one TCP connection.
 
     Attributes:
@@ -56,6 +74,7 @@
         closing: Future of the task that waits until the connection is closed, or None.
         closed: Whether the connection is closed, with all bytes sent or given up.
         ended: Whether the peer sent end of file or the connection is lost.
+        held: Whether no more is taken from the socket.
         error: Exception that ended the connection, or None.
         on_open: Function called with the stream when it is connected, or None.
         on_data: Function called with the number of bytes that arrived, or None.
@@ -68,6 +87,7 @@
         "closing",
         "ended",
         "error",
+        "held",
         "on_data",
         "on_end",
         "on_open",
@@ -84,6 +104,7 @@
         self.closing = None
         self.closed = False
         self.ended = False
+        self.held = False
         self.error = None
         self.on_open = on_open
         self.on_data = None
@@ -92,6 +113,7 @@
     def connection_made(self, transport):
         """Sets the socket options and calls `on_open`; called by the event loop."""
         self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         accepted = self.on_open is not None
         _set_user_timeout(
             transport, SLOW_READER_TIMEOUT_MS if accepted else UNACKED_TIMEOUT_MS
@@ -99,8 +121,16 @@
         if accepted:
             self.on_open(self)
 
+    def get_buffer(self, sizehint):
+        """Returns the buffer to read into; called by the event loop."""
+        return _received
+
+    def buffer_updated(self, nbytes):
+        """Takes bytes out of the buffer again; called by the event loop."""
+        self.data_received(_received[:nbytes])
+
     def data_received(self, data):
-        """Buffers received bytes; called by the event loop."""
+        """Buffers received bytes."""
         self.buffer += data
         if self.on_data is not None:
             self.on_data(len(data))
@@ -184,7 +214,7 @@
         stream: ByteStream.
 
     Returns:
-        Bytes; empty at the peer's end of file.
+        Bytes; empty at the peer's end of file, and when the input is held.
 
     Raises:
         PeerTimeoutError: The peer stopped acknowledging bytes or probes.
@@ -194,7 +224,7 @@
     if stream.buffer:
         data = bytes(stream.buffer)
         stream.buffer.clear()
-        if not stream.ended:
+        if not (stream.ended or stream.held):
             stream.transport.resume_reading()
         return data
     if stream.error is not None:
@@ -203,8 +233,8 @@
 
 
 async def wait_readable(stream):
-    """Waits until bytes have arrived or the connection has ended."""
-    if stream.buffer or stream.ended:
+    """Waits until bytes have arrived, the connection has ended or its input is held."""
+    if _is_readable(stream):
         return
     stream.waiter = asyncio.get_running_loop().create_future()
     try:
@@ -213,6 +243,10 @@
         stream.waiter = None
 
 
+def _is_readable(stream):
+    return bool(stream.buffer) or stream.ended or stream.held
+
+
 async def wait_readable_before(stream, ends_at):
     """Waits until bytes have arrived, the connection has ended, or a time is reached.
 
@@ -227,10 +261,33 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(ends_at):
             await wait_readable(stream)
-    if not (stream.buffer or stream.ended):
+    if not _is_readable(stream):
         # The event loop may take bytes from the socket later in the same turn.
         await asyncio.sleep(0)
-    return bool(stream.buffer) or stream.ended
+    return _is_readable(stream)
+
+
+def hold_input(stream):
+    """Takes no more from the socket; readers get what has arrived and then the end.
+
+    Args:
+        stream: ByteStream.
+    """
+    stream.held = True
+    if not stream.ended:
+        stream.transport.pause_reading()
+    _wake(stream.waiter)
+
+
+def release_input(stream):
+    """Takes input from the socket again.
+
+    Args:
+        stream: ByteStream.
+    """
+    stream.held = False
+    if not stream.ended:
+        stream.transport.resume_reading()
 
 
 def wake(stream):
@@ -257,6 +314,24 @@
     return await read(stream)
 
 
+async def read_more(stream, ends_at):
+    """Returns more bytes of what has arrived in part, as `read_before` does.
+
+    Args:
+        stream: ByteStream.
+        ends_at: End of the wait (s, monotonic).
+
+    Raises:
+        InputHeldError: No more is taken from the socket.
+        TimeoutError: Nothing has arrived by then.
+        ConnectionError: The connection broke off.
+    """
+    data = await read_before(stream, ends_at)
+    if not data and stream.held:
+        raise InputHeldError
+    return data
+
+
 def extend_while_receiving(stream, timer, idle_s, total_s, on_data=None):
     """Extends a timeout as long as bytes arrive, until `stream.on_data` is reset.
 
--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -7,16 +7,32 @@
 import time
 
 import h11
+from expression import Error
 from flamingolift_model import RESULT_CODE_INFO, Fault, ResultCode
 
-from flamingolift_front import answering, bytestream, forwarding, readahead
+from flamingolift_front import (
+    answering,
+    bytestream,
+    forwarding,
+    handoverfields,
+    readahead,
+)
+from flamingolift_front.earlyanswers import read_early_answer
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.refusals import retryable_fault
 from flamingolift_front.requesttrace import may_have_run
 from flamingolift_front.responses import problem_response
 
-__all__ = ["CallerConnection", "accept_caller", "close_idle", "end_requests"]
+__all__ = [
+    "CallerConnection",
+    "accept_caller",
+    "close_idle",
+    "drain_connections",
+    "end_requests",
+]
 
+_ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+"""States of a parser that has encoded a complete answer."""
 LINGER_S = 2.0
 """Longest time for which unread input is taken before a close (s)."""
 
@@ -39,6 +55,7 @@
             no request has arrived.
         req: CallerRequest that is being answered, or None.
         trace: Trace of that request.
+        end: How that request ends, as `request_ends` counts it.
         responding: Whether bytes of the answer to it were sent.
         refused: Whether a request that could not be read was refused.
     """
@@ -48,6 +65,7 @@
         "arrived",
         "busy",
         "closing",
+        "end",
         "from_instance",
         "parser",
         "reader",
@@ -75,6 +93,7 @@
         self.closing = False
         self.req = None
         self.trace = None
+        self.end = ""
         self.responding = False
         self.refused = False
 
@@ -109,11 +128,28 @@
     An answer that waits in the send buffer as a whole is left to be sent.
     """
     for conn in list(front.connections):
-        is_unanswered = conn.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        if conn.req is not None and is_unanswered:
+        if _is_unanswered(conn) or conn.ahead:
             conn.task.cancel()
 
 
+def drain_connections(front):
+    """Lets the connections end with what has arrived on them.
+
+    Args:
+        front: Front, whose listeners are closed.
+    """
+    front.draining = True
+    for conn in front.connections:
+        if conn.req is not None:
+            bytestream.hold_input(conn.stream)
+    close_idle(front)
+
+
+def _is_unanswered(conn):
+    """Returns whether the current request has no complete answer yet."""
+    return conn.req is not None and conn.parser.our_state not in _ANSWERED_STATES
+
+
 async def _serve(front, conn):
     """Serves requests until the connection ends."""
     cause = "idle"
@@ -143,6 +179,9 @@
 async def _close(front, conn):
     """Closes a connection, which counts as open until its last bytes have left."""
     conn.closing = True
+    # Their memory counts as held until nothing refers to them.
+    conn.req = None
+    conn.ahead.clear()
     bytestream.close(conn.stream)
     try:
         await bytestream.wait_closed(conn.stream)
@@ -151,10 +190,10 @@
 
 
 async def _answer_unfinished(front, conn, codes, cause):
-    """Tells a caller how a request ended that has no complete answer.
+    """Tells a caller how its requests ended that were read and have no answer.
 
-    The parser may be in a state in which it sends no more, so another one encodes the
-    answer.
+    Each end of a connection that its caller did not cause passes here. An answer that
+    has begun cannot be taken back, so that its connection is reset.
 
     Args:
         front: Front.
@@ -162,28 +201,93 @@
         codes: ResultCode of a request that did not run, and of one that may have run.
         cause: Why there is no answer of a server.
     """
-    if conn.req is None or conn.stream.ended or conn.stream.transport.is_closing():
+    if conn.stream.ended or conn.stream.transport.is_closing():
         return
-    if conn.responding:
+    if _is_unanswered(conn) and conn.responding:
         answering.cut_response(front, conn, conn.req, cause)
         return
-    if may_have_run(conn.trace):
-        fault = Fault(codes[1], f"{cause} during the request")
+    bytestream.hold_input(conn.stream)
+    await readahead.stop_reading(conn)
+    try:
+        if _is_unanswered(conn):
+            fault = _end_fault(front, conn.trace, codes, cause)
+            await _send_end(front, conn, conn.req, conn.trace, Error(fault))
+        elif conn.req is not None:
+            front.metrics.request_ends.labels(conn.end).inc()
+        conn.req = None
+        async for exchange in readahead.take_unanswered(front, conn):
+            conn.parser = exchange.parser
+            await _answer_waiting(front, conn, exchange, codes, cause)
+        await _drain_input(conn)
+    except ConnectionError as exc:
+        log_event(front.log, "caller_lost", cause=str(exc) or type(exc).__name__)
+    except Exception as exc:
+        # The answers behind would take the place of this one.
+        log_event(front.log, "task_failed", task="last answers", cause=repr(exc))
+        bytestream.abort(conn.stream)
+
+
+async def _answer_waiting(front, conn, exchange, codes, cause):
+    """Answers a request whose turn does not come any more."""
+    received, trace = exchange.received, exchange.trace
+    if received.is_error():
+        await answering.send_response(front, conn, problem_response(received.error))
+        conn.refused = True
+        return
+    front.metrics.requests_read.inc()
+    result = await readahead.early_result(front, exchange)
+    if result is not None:
+        try:
+            await _send_end(front, conn, received.ok, trace, result)
+            return
+        except h11.LocalProtocolError as exc:
+            if conn.responding:
+                raise
+            log_event(front.log, "task_failed", task="caller", cause=repr(exc))
+            front.metrics.requests_read.inc()
+    fault = _end_fault(front, trace, codes, cause)
+    await _send_end(front, conn, received.ok, trace, Error(fault))
+
+
+def _end_fault(front, trace, codes, cause):
+    """Returns the Fault of a request that has no answer of a server."""
+    if may_have_run(trace):
+        return Fault(codes[1], f"{cause} during the request")
+    return retryable_fault(front, codes[0], f"{cause} before a send")
+
+
+async def _send_end(front, conn, req, trace, result):
+    """Sends the answer to a request of a connection that is about to end.
+
+    The request's own parser may be in a state in which it sends no more, so that
+    another one encodes the answer.
+    """
+    if conn.parser.our_state is not h11.SEND_RESPONSE:
+        conn.parser = _make_answering_parser(req.method)
+    if result.is_ok():
+        response = result.ok.response
+        outcome, end, detail = "answered", "answered", ""
     else:
-        fault = retryable_fault(front, codes[0], f"{cause} before a send")
-    conn.parser = _make_answering_parser(conn.req.method)
-    status = RESULT_CODE_INFO[fault.code].status
-    answering.log_request(front, conn.req, conn.trace, fault.code.name, status, cause)
-    front.metrics.request_ends.labels("refused").inc()
-    req, conn.req = conn.req, None
-    with contextlib.suppress(ConnectionError):
-        await answering.send_response(front, conn, problem_response(fault), req.method)
+        response, detail = problem_response(result.error), result.error.detail
+        outcome, end = result.error.code.name, "refused"
+    conn.closing = not readahead.has_requests_behind(conn)
+    conn.responding = False
+    answering.log_request(front, req, trace, outcome, response.status, detail)
+    conn.end = "unanswered"
+    try:
+        await answering.send_response(front, conn, response, req.method)
+        conn.end = end
+    except ConnectionError:
+        conn.end = "caller_left"
+        raise
+    finally:
+        front.metrics.request_ends.labels(conn.end).inc()
 
 
 def _make_answering_parser(method):
-    """Returns an h11 connection that has read a request and closes after the answer."""
+    """Returns an h11 connection that has read a request."""
     parser = h11.Connection(h11.SERVER)
-    parser.receive_data(method + b" / HTTP/1.1\r\nHost: -\r\nConnection: close\r\n\r\n")
+    parser.receive_data(method + b" / HTTP/1.1\r\nHost: -\r\n\r\n")
     while not isinstance(parser.next_event(), h11.EndOfMessage):
         pass
     return parser
@@ -197,8 +301,8 @@
     if conn.req is not None:
         end = "caller_left" if by_caller else "unanswered"
         front.metrics.request_ends.labels(end).inc()
-    unread_requests = len(conn.ahead)
-    for exchange in await readahead.drop_ahead(front, conn):
+    dropped = await readahead.drop_ahead(front, conn)
+    for exchange in dropped:
         end = "caller_left" if by_caller else "unread"
         front.metrics.requests_read.inc()
         front.metrics.request_ends.labels(end).inc()
@@ -214,12 +318,12 @@
             front.log, "request_unanswered", id=request_id, cause=cause, age_ms=age_ms
         )
     unread = len(conn.stream.buffer) + len(conn.reading.trailing_data[0])
-    if unread or unread_requests:
+    if unread or dropped:
         log_event(
             front.log,
             "bytes_unread",
             bytes=unread,
-            requests=unread_requests,
+            requests=len(dropped),
             cause=cause,
         )
 
@@ -235,10 +339,12 @@
     if received.ok is None:
         return False
     conn.req, conn.trace, conn.responding = received.ok, exchange.trace, False
+    if front.draining:
+        bytestream.hold_input(conn.stream)
     front.metrics.requests_read.inc()
     readahead.read_ahead(front, conn)
-    end = await _handle_request(front, conn, exchange)
-    front.metrics.request_ends.labels(end).inc()
+    await _handle_request(front, conn, exchange)
+    front.metrics.request_ends.labels(conn.end).inc()
     conn.req = None
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
@@ -252,8 +358,9 @@
     readahead.cancel_started(conn)
     await readahead.stop_reading(conn)
     unread = conn.ahead or conn.stream.buffer or conn.reading.trailing_data[0]
-    if not (unread or conn.refused):
+    if not (unread or conn.refused or conn.stream.held):
         return
+    bytestream.release_input(conn.stream)
     bytestream.write_eof(conn.stream)
     ends_at = time.monotonic() + LINGER_S
     with contextlib.suppress(TimeoutError, ConnectionError):
@@ -263,30 +370,33 @@
 
 
 async def _handle_request(front, conn, exchange):
-    """Forwards a request and sends the response to the caller.
-
-    Returns:
-        "answered" with a server's response, "refused" with one of the instance, or
-        "caller_left".
-    """
+    """Forwards a request, sends the response to the caller, and sets `conn.end`."""
     req, trace = conn.req, conn.trace
     if conn.stream.ended:
+        conn.end = "caller_left"
         await readahead.drop_exchange(front, exchange)
         answering.log_request(front, req, trace, "caller_left", 0)
-        return "caller_left"
+        return
     try:
         with answering.cancelled_by_end(conn):
             result = await (exchange.task or forwarding.forward(front, req, trace))
+            if trace.early and result.is_ok() and result.ok.call is not None:
+                result = await read_early_answer(front, req, trace, result.ok)
     except asyncio.CancelledError:
         if conn.stream.ended:
             answering.log_request(front, req, trace, "caller_left", 0)
         raise
     if result.is_error():
-        fault = result.error
+        conn.end, fault = "refused", result.error
         status = RESULT_CODE_INFO[fault.code].status
         answering.log_request(front, req, trace, fault.code.name, status, fault.detail)
-        await answering.send_response(front, conn, problem_response(fault), req.method)
-        return "refused"
+        response = problem_response(fault)
+        if conn.from_instance:
+            handoverfields.write_fields(response, trace)
+        await answering.send_response(front, conn, response, req.method)
+        return
+    conn.end = "answered"
+    if conn.from_instance:
+        handoverfields.write_fields(result.ok.response, trace)
     answering.log_request(front, req, trace, "answered", result.ok.response.status)
     await answering.relay_response(front, conn, req, result.ok)
-    return "answered"
--- a/packages/front/src/flamingolift_front/forwarding.py
+++ b/packages/front/src/flamingolift_front/forwarding.py
@@ -24,10 +24,7 @@
 from flamingolift_front.firstview import wait_for_policy
 from flamingolift_front.refusals import retryable_fault
 from flamingolift_front.requesttrace import is_repeat
-from flamingolift_front.sending import (
-    UNKNOWN_OUTCOMES,
-    Outcome,
-)
+from flamingolift_front.sending import UNKNOWN_OUTCOMES, Outcome
 from flamingolift_front.state import retry_budget_for
 from flamingolift_front.timelimit import time_limit
 from flamingolift_front.tries import (
@@ -37,7 +34,7 @@
     usable_servers,
 )
 
-__all__ = ["find_route", "forward"]
+__all__ = ["DEADLINE_GRACE_S", "find_route", "forward", "run_until"]
 
 DEADLINE_GRACE_S = 0.12
 """Time after the deadline during which a response is still accepted (s): covers a
@@ -87,14 +84,14 @@
     if deadline + DEADLINE_GRACE_S > front.exit_at:
         detail = "the instance stops before the request could end"
         return Error(retryable_fault(front, ResultCode.DRAINING, detail))
-    held = await heldattempts.check_hold(front, req, trace)
+    held = await heldattempts.check_hold(front, req, trace, deadline)
     if held.is_error():
         return held
     if not serverpaths.is_cut_off(front.paths, trace.service):
         windowbudget.record_request(retry_budget_for(front, trace.service), now)
     if req.attempts_left is not None:
         return await _serve_handed_on(front, req, route, trace, deadline)
-    return await _run_until(front, req, route, trace, deadline)
+    return await run_until(front, req, route, trace, deadline)
 
 
 async def _serve_handed_on(front, req, route, trace, deadline):
@@ -106,13 +103,25 @@
     trace.attempts = max(0, route.max_attempts - req.attempts_left)
     front.taken += 1
     try:
-        return await _run_until(front, req, route, trace, deadline)
+        return await run_until(front, req, route, trace, deadline)
     finally:
         front.taken -= 1
 
 
-async def _run_until(front, req, route, trace, deadline):
-    """Serves a request, here or on another instance, until its deadline."""
+async def run_until(front, req, route, trace, deadline):
+    """Serves a request, here or on another instance, until its deadline.
+
+    Args:
+        front: Front.
+        req: CallerRequest.
+        route: Route of the request.
+        trace: Trace with the sends so far.
+        deadline: Earlier of the caller's deadline and the route's timeout (s,
+            monotonic).
+
+    Returns:
+        Result as `forward` returns it.
+    """
     now = time.monotonic()
     trace.placing = fullregions.place_request(
         front.view.backends, trace.service, route, front.cfg.region, now
--- a/packages/front/src/flamingolift_front/httpcall.py
+++ b/packages/front/src/flamingolift_front/httpcall.py
@@ -1,11 +1,14 @@
 """HTTP/1.1 client: one request and its response on a connection."""
 
 import asyncio
+import contextlib
 import re
 
 import h11
 
 from flamingolift_front import bytestream
+from flamingolift_front.heldbytes import extend_held, hold_now
+from flamingolift_front.spool import append_piece, make_spool, spooled_body
 
 __all__ = [
     "HttpCall",
@@ -18,6 +21,7 @@
     "open_call",
     "parse_count",
     "parse_decimal",
+    "read_on",
     "read_response",
     "strip_hop_headers",
 ]
@@ -27,6 +31,11 @@
 SPOOL_BYTES = 1 << 20
 """Largest body that is buffered completely before its first byte is passed on (bytes).
 Larger ones are streamed, and their requests are not retried."""
+SEND_PIECE_BYTES = bytestream.WRITE_HIGH_WATER_BYTES
+"""Size of the pieces in which a body is sent (bytes)."""
+UNCOUNTED_BYTES = 1 << 14
+"""Size up to which a response is buffered without room in the budget (bytes), so that
+small ones are retried and their connections kept under pressure, too."""
 MAX_COUNT_DIGITS = 18
 """Digits of a number beyond which it is not taken for a count."""
 MAX_SKIPPED_RESPONSES = 4
@@ -66,11 +75,13 @@
         status: HTTP status.
         reason: Reason phrase (bytes).
         headers: List of (name, value), both bytes, as received.
-        body: Part of the body that has been read (bytes).
+        body: Part of the body that has been read (bytes, or memoryview in a call that
+            draws on a byte budget).
         complete: Whether `body` is the whole body.
+        held: HeldBytes of `body`, or None.
     """
 
-    __slots__ = ("body", "complete", "headers", "reason", "status")
+    __slots__ = ("body", "complete", "headers", "held", "reason", "status")
 
     def __init__(self, status, reason, headers, body=b"", complete=False):
         self.status = status
@@ -78,6 +89,7 @@
         self.headers = headers
         self.body = body
         self.complete = complete
+        self.held = None
 
 
 class HttpCall:
@@ -87,6 +99,8 @@
         stream: ByteStream.
         parser: h11 connection.
         request: h11 request, kept to parse further responses.
+        sender: Task that sends a large body, or None.
+        budget: ByteBudget of the response's body, or None.
         events: Number of pieces of responses that were parsed.
         informational: Number of informational responses that were read.
         skipped: Number of responses to other requests that were skipped.
@@ -94,10 +108,12 @@
     """
 
     __slots__ = (
+        "budget",
         "events",
         "informational",
         "parser",
         "request",
+        "sender",
         "skipped",
         "skipped_bytes",
         "stream",
@@ -107,6 +123,8 @@
         self.stream = stream
         self.parser = parser
         self.request = request
+        self.sender = None
+        self.budget = None
         self.events = 0
         self.informational = 0
         self.skipped = 0
@@ -162,12 +180,10 @@
     return [(n, v) for n, v in headers if n.lower() not in dropped]
 
 
-def _new_parser(request, body):
+def _new_parser(request):
+    """Returns an h11 connection and the encoded head of the request."""
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    data = parser.send(request)
-    if body:
-        data += parser.send(h11.Data(data=body))
-    return parser, data + parser.send(h11.EndOfMessage())
+    return parser, parser.send(request)
 
 
 def open_call(stream, method, target, headers, body):
@@ -178,15 +194,43 @@
         method: HTTP method (bytes).
         target: Request target (bytes), sent unchanged.
         headers: List of (name, value), both bytes, with the framing of the body.
-        body: Whole body (bytes).
+        body: Whole body (bytes or memoryview).
 
     Returns:
-        HttpCall.
+        HttpCall. A task sends what is left of a large body while the response is read,
+        since a server may respond before it has read the request.
     """
     request = h11.Request(method=method, target=target, headers=headers)
-    parser, data = _new_parser(request, body)
+    parser, data = _new_parser(request)
+    call = HttpCall(stream, parser, request)
+    if len(body) <= SEND_PIECE_BYTES:
+        if body:
+            data += parser.send(h11.Data(data=body))
+        bytestream.write(stream, data + parser.send(h11.EndOfMessage()))
+        return call
     bytestream.write(stream, data)
-    return HttpCall(stream, parser, request)
+    sending = _send_body(stream, parser, memoryview(body))
+    call.sender = asyncio.get_running_loop().create_task(sending)
+    return call
+
+
+async def _send_body(stream, parser, body):
+    """Sends a body in pieces, each when the send buffer has room for it."""
+    # Whoever reads the response sees that the connection broke off.
+    with contextlib.suppress(ConnectionError):
+        for start in range(0, len(body), SEND_PIECE_BYTES):
+            await bytestream.flush(stream)
+            if stream.transport.is_closing():
+                return
+            piece = body[start : start + SEND_PIECE_BYTES]
+            bytestream.write(stream, parser.send(h11.Data(data=piece)))
+        bytestream.write(stream, parser.send(h11.EndOfMessage()))
+
+
+def _stop_sending(call):
+    """Ends the sending of a body whose response is complete; nobody reads the rest."""
+    if call.sender is not None:
+        call.sender.cancel()
 
 
 async def _next_event(call):
@@ -253,17 +297,45 @@
             break
         await _skip_response(call)
     response = HttpResponse(head.status_code, bytes(head.reason), headers)
-    body = bytearray()
-    async for chunk in iter_body(call):
-        body += chunk
-        if len(body) > spool_bytes:
-            response.body = bytes(body)
-            return response
-    response.body = bytes(body)
-    response.complete = True
+    await read_on(call, response, spool_bytes)
     return response
 
 
+async def read_on(call, response, spool_bytes):
+    """Reads more of a response's body.
+
+    Args:
+        call: HttpCall.
+        response: HttpResponse that is not complete.
+        spool_bytes: Largest body that is buffered completely (bytes). Without room in
+            the budget, less is.
+
+    Raises:
+        InvalidResponseError: The response is malformed or cut short.
+        ConnectionError: The connection broke off.
+    """
+    body = make_spool(spool_bytes + 2 * SEND_PIECE_BYTES, response.body)
+    if response.held is None and call.budget is not None:
+        response.held = hold_now(call.budget)
+    async for chunk in iter_body(call):
+        append_piece(body, chunk)
+        if body.used > spool_bytes or not _has_room(response, body.used, chunk):
+            break
+    else:
+        response.complete = True
+        _stop_sending(call)
+    response.body = spooled_body(body)
+    if call.budget is None:
+        response.body = bytes(response.body)
+
+
+def _has_room(response, size, chunk):
+    """Counts a chunk of a body as held; returns whether more may be buffered."""
+    if response.held is None or extend_held(response.held, len(chunk)):
+        return True
+    return size <= UNCOUNTED_BYTES
+
+
 async def iter_body(call):
     """Yields the rest of a response's body.
 
@@ -297,7 +369,8 @@
         if call.skipped_bytes > MAX_SKIPPED_BYTES:
             raise InvalidResponseError("a response to another request is too large")
     rest, closed = call.parser.trailing_data
-    call.parser, _unsent = _new_parser(_without_body(call.request), b"")
+    call.parser, _unsent = _new_parser(_without_body(call.request))
+    call.parser.send(h11.EndOfMessage())
     if rest:
         call.parser.receive_data(rest)
     if closed:
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -8,6 +8,7 @@
 
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
+from flamingolift_decisions.bytebudget import ByteBudget, budget_for
 from flamingolift_decisions.instancecount import InstanceCount
 from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
@@ -27,6 +28,7 @@
     "View",
     "ViewChange",
     "live_instances",
+    "note_streamed",
     "notify_change",
     "response_times_for",
     "retry_budget_for",
@@ -34,6 +36,9 @@
 
 MAX_TIMED_ROUTES = 1024
 """Routes whose response times are kept; beyond that all of them are discarded."""
+MAX_CONTROL_BYTES = 8 << 20
+"""Bytes that unanswered requests on the control ports may hold together: 32 reports of
+the largest size of peers at once."""
 
 
 class ViewChange:
@@ -219,6 +224,7 @@
         affinity_cache: AffinityCache.
         region_costs: RegionCosts.
         response_times: Map of route name to the RecentTimes of its answers.
+        streamed_routes: Set of the names of routes with answers that were streamed.
         paths: ServerPaths of all signs of a path to a server.
         connects: ServerPaths of connects alone.
         helpers: Helpers.
@@ -231,8 +237,11 @@
         grant_links: Map of (host, port) to a list of idle PeerLink to a grantor.
         failed_grantors: Map of instance id to the time until which it is not asked for
             grants (s, monotonic).
+        byte_budget: ByteBudget of what its buffers hold.
+        control_budget: ByteBudget of the requests on its control ports.
         rng: Random number generator for jitter.
         stopping: Whether the stop signal has arrived.
+        draining: Whether the listeners are closed and requests in progress end.
         exit_at: Time at which the process ends in a planned stop (s, monotonic);
             infinite before the stop signal.
         incarnation: Start of the process (ms since the epoch).
@@ -242,10 +251,13 @@
 
     __slots__ = (
         "affinity_cache",
+        "byte_budget",
         "cfg",
         "connections",
         "connects",
+        "control_budget",
         "crashes",
+        "draining",
         "exit_at",
         "failed_grantors",
         "grant_links",
@@ -265,6 +277,7 @@
         "started_at",
         "stopping",
         "store",
+        "streamed_routes",
         "taken",
         "tasks",
         "view",
@@ -286,14 +299,18 @@
         self.affinity_cache = AffinityCache()
         self.region_costs = RegionCosts()
         self.response_times = {}
+        self.streamed_routes = set()
         self.retry_budgets = {}
         self.crashes = Crashes()
         self.connections = set()
         self.links = {}
         self.grant_links = {}
         self.failed_grantors = {}
+        self.byte_budget = budget_for(cfg.memory_limit_mb)
+        self.control_budget = ByteBudget(MAX_CONTROL_BYTES)
         self.rng = random.Random()
         self.stopping = False
+        self.draining = False
         self.exit_at = math.inf
         self.started_at = time.monotonic()
         self.incarnation = int(time.time() * 1000)
@@ -322,6 +339,18 @@
     return times
 
 
+def note_streamed(front, route_name):
+    """Records that an answer of a route is streamed.
+
+    Args:
+        front: Front.
+        route_name: Name of the route.
+    """
+    if len(front.streamed_routes) >= MAX_TIMED_ROUTES:
+        front.streamed_routes.clear()
+    front.streamed_routes.add(route_name)
+
+
 def live_instances(view):
     """Returns the InstanceEntry objects that are not leaving, by region."""
     by_region = collections.defaultdict(list)
--- a/tools/bite.py
+++ b/tools/bite.py
@@ -311,8 +311,8 @@
         [
             (
                 f"{FRONT}/bytestream.py",
-                "    return bool(stream.buffer) or stream.ended\n\n\ndef wake",
-                "    return loop_time() < ends_at\n\n\ndef wake",
+                "    return _is_readable(stream)\n\n\ndef hold_input",
+                "    return loop_time() < ends_at\n\n\ndef hold_input",
             ),
             (
                 f"{FRONT}/bytestream.py",
@@ -390,8 +390,8 @@
         [
             (
                 f"{DECISIONS}/earlystarts.py",
-                "return route is not None and route.idempotent and not stopping",
-                "return route is not None and not stopping",
+                "return route is not None and route.idempotent",
+                "return route is not None",
             )
         ],
         "integration/test_pipelines.py::test_look_ups_run_side_by_side_and_a_booking_at_its_turn",
@@ -400,7 +400,7 @@
         [
             (
                 f"{DECISIONS}/earlystarts.py",
-                "return route is not None and route.idempotent and not stopping",
+                "return route is not None and route.idempotent",
                 "return False",
             )
         ],
