--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -48,6 +48,8 @@
 HEDGE_S = 0.5
 """Lag behind that pace at which a follower asks the next relay for the update (s): the
 followers of a relay share its link, and their first bytes wait."""
+STALL_S = 0.1
+"""Lateness of a heartbeat's end from which the own event loop was blocked (s)."""
 ERA_WAIT_S = 1.0
 """Time for which a follower that knows of a restored store waits for its relays (s)."""
 ANNOUNCED_TIMEOUT_S = 1.4
@@ -158,7 +160,8 @@
             if watched in failing and len(failing) < len(order) and not is_waiting:
                 watched = next(name for name in order if name not in failing)
                 # Its long poll would hide its silence.
-                pending.pop(watched).cancel()
+                if watched in pending:
+                    pending.pop(watched).cancel()
             if front.view.revision != seen:
                 seen = front.view.revision
                 await asyncio.sleep(RELAY_PAUSE_S)
@@ -211,18 +214,24 @@
 async def _poll_relay(front, following, link, rank, pause_s, wait_s, margin_s):
     """Applies a relay's next update after a pause; returns whether it responded."""
     await asyncio.sleep(pause_s)
+    started = time.monotonic()
     try:
         update = await peersync.fetch_update(
             front, link, wait_s, INLINE_BYTES, margin_s=margin_s
         )
-        if update.announced_bytes:
-            _record_announcement(front.view, following, update)
-            if await _arrives_elsewhere(front.view, following, update.revision, rank):
-                return True
-            update = await _transfer(front, following, link)
     except peerlink.PeerError as exc:
         _log_failure(front, link, exc)
-        return False
+        # When the own event loop was blocked, the response may have been there.
+        return time.monotonic() - started > wait_s + margin_s + STALL_S
+    if update.announced_bytes:
+        _record_announcement(front.view, following, update)
+        if await _arrives_elsewhere(front.view, following, update.revision, rank):
+            return True
+        try:
+            update = await _transfer(front, following, link)
+        except peerlink.PeerError as exc:
+            _log_failure(front, link, exc)
+            return False
     peersync.apply_update(front, update, peerlink.link_name(link))
     return True
 
--- a/packages/front/src/flamingolift_front/tests/test_relaysync.py
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -301,3 +301,33 @@
     end = await asyncio.wait_for(follow, 5.0)
     assert end is relaysync.FollowingEnd.RELAYS_FAILED
     assert time.monotonic() - silent_at < 2.0
+
+
+# Guards against a follower that fails when its heartbeat ends in the same turn in which
+# the next relay has answered.
+async def test_heartbeat_goes_on_to_a_relay_whose_poll_has_just_ended(
+    new_front, monkeypatch
+):
+    entries = [make_entry(n) for n in (1, 2, 3)]
+    follower = new_front()
+    names = [entry.instance_id for entry in entries]
+    order = relaysync.transfer_order(entries, follower.cfg.instance_id)
+    assert set(order) == set(names)
+    polls = []
+
+    async def poll(_front, _following, _link, rank, _pause_s, _wait_s, _margin_s):
+        polls.append(rank)
+        if len(polls) > len(names):
+            await asyncio.sleep(3600.0)
+        return rank != 0
+
+    async def respond(_front, _relays, _failing):
+        return True
+
+    monkeypatch.setattr(relaysync, "_poll_relay", poll)
+    monkeypatch.setattr(relaysync, "_any_relay_responds", respond)
+    follow = asyncio.ensure_future(relaysync.follow_relays(follower, entries))
+    await asyncio.sleep(0.1)
+    assert not follow.done()
+    follow.cancel()
+    await asyncio.gather(follow, return_exceptions=True)
