--- a/packages/decisions/src/flamingolift_decisions/bytebudget.py
+++ b/packages/decisions/src/flamingolift_decisions/bytebudget.py
@@ -214,7 +214,8 @@
     """
     blocked = set()
     for waiting in list(budget.claims):
-        if waiting.is_body in blocked:
+        # A release within `on_room`, or by the garbage collector, may have granted it.
+        if waiting.is_body in blocked or waiting not in budget.claims:
             continue
         if not may_hold(budget, waiting.size, waiting.is_body):
             blocked.add(waiting.is_body)
