Ask for no body out of turn, and end the wait for memory of a caller that left

And a caller that had left kept its claim for memory at the head of the queue for up to half of its own deadline, so that bodies that fitted were refused. The 100 is sent at the request's turn alone; the wait ends when the caller leaves, and after 2 s.

--- a/packages/front/src/flamingolift_front/bodyreading.py
+++ b/packages/front/src/flamingolift_front/bodyreading.py
@@ -22,6 +22,9 @@
 ROOM_WAIT_SHARE = 0.5
 """Part of a request's remaining time for which it waits for memory (ratio). The rest
 is left for its body and the answer."""
+MAX_ROOM_WAIT_S = 2.0
+"""Longest time for which a request waits for memory (s), so that one whose caller says
+that it waits for long does not hold up the others."""
 
 
 class Body:
@@ -84,7 +87,7 @@
         if needed > limits.max_body_bytes:
             return _too_large()
         if needed > body.capacity:
-            fault = await _make_room(front, body, needed, limits, deadline_at)
+            fault = await _make_room(front, conn, body, needed, limits, deadline_at)
             if fault is not None:
                 return Error(fault)
             ends_at = time.monotonic() + idle_s
@@ -94,7 +97,8 @@
             continue
         if is_asking:
             ends_at = time.monotonic() + idle_s
-            _send_continue(conn)
+            if conn.turn.is_set() and not conn.stream.held:
+                _send_continue(conn)
         conn.reading.receive_data(await bytestream.read_more(conn.stream, ends_at))
 
 
@@ -110,7 +114,7 @@
     return int(header(headers, "content-length", "0"))
 
 
-async def _make_room(front, body, needed, limits, deadline_at):
+async def _make_room(front, conn, body, needed, limits, deadline_at):
     """Holds memory for a body; returns a Fault when there is none in time.
 
     All memory of a large body is held before its first bytes are kept, so that no body
@@ -124,12 +128,12 @@
     if needed > size or not bytebudget.can_ever_hold(budget, size, is_large):
         return _refuse(front, "the body is larger than the instance's share for bodies")
     now = time.monotonic()
-    wait_s = max(0.0, deadline_at - now) * ROOM_WAIT_SHARE
+    wait_s = max(0.0, min(MAX_ROOM_WAIT_S, (deadline_at - now) * ROOM_WAIT_SHARE))
     if not bytebudget.may_hold(budget, size, is_large):
         front.metrics.memory_waits.inc()
     # What a chunked body has so far must not take the memory that it waits for.
     body.held = None
-    held = await hold_when_free(budget, size, is_large, now + wait_s)
+    held = await hold_when_free(budget, size, is_large, now + wait_s, conn.stream)
     if held is None:
         return _refuse(front, "no memory for the body became free in time")
     data = mmap.mmap(-1, size, mmap.MAP_PRIVATE) if is_large else bytearray()
--- a/packages/front/src/flamingolift_front/bytestream.py
+++ b/packages/front/src/flamingolift_front/bytestream.py
@@ -12,6 +12,7 @@
     "InputHeldError",
     "PeerTimeoutError",
     "abort",
+    "calling_at_end",
     "close",
     "connect",
     "extend_while_receiving",
@@ -79,12 +80,14 @@
         on_open: Function called with the stream when it is connected, or None.
         on_data: Function called with the number of bytes that arrived, or None.
         on_end: Function called without arguments when `ended` becomes true, or None.
+        end_calls: Tuple of further such functions.
     """
 
     __slots__ = (
         "buffer",
         "closed",
         "closing",
+        "end_calls",
         "ended",
         "error",
         "held",
@@ -109,6 +112,7 @@
         self.on_open = on_open
         self.on_data = None
         self.on_end = None
+        self.end_calls = ()
 
     def connection_made(self, transport):
         """Sets the socket options and calls `on_open`; called by the event loop."""
@@ -177,6 +181,24 @@
     _wake(stream.waiter)
     if is_first and stream.on_end is not None:
         stream.on_end()
+    if is_first:
+        for function in stream.end_calls:
+            function()
+
+
+@contextlib.contextmanager
+def calling_at_end(stream, function):
+    """Calls a function when the peer leaves meanwhile.
+
+    Args:
+        stream: ByteStream.
+        function: Function without arguments.
+    """
+    stream.end_calls += (function,)
+    try:
+        yield
+    finally:
+        stream.end_calls = tuple(f for f in stream.end_calls if f is not function)
 
 
 async def connect(host, port, timeout_s, keepalive=False):
--- a/packages/front/src/flamingolift_front/heldbytes.py
+++ b/packages/front/src/flamingolift_front/heldbytes.py
@@ -5,6 +5,8 @@
 
 from flamingolift_decisions import bytebudget
 
+from flamingolift_front import bytestream
+
 __all__ = ["HeldBytes", "extend_held", "hold_now", "hold_when_free", "shrink_held"]
 
 
@@ -72,7 +74,7 @@
     bytebudget.release(held.budget, surplus, held.is_body)
 
 
-async def hold_when_free(budget, size, is_body, ends_at):
+async def hold_when_free(budget, size, is_body, ends_at, stream):
     """Waits until the budget has room for bytes, behind earlier claims of their kind.
 
     Args:
@@ -80,6 +82,7 @@
         size: Number of bytes.
         is_body: Whether they belong to a large body.
         ends_at: End of the wait (s, monotonic).
+        stream: ByteStream of the caller, whose leaving ends the wait.
 
     Returns:
         HeldBytes, or None when there was no room in time.
@@ -88,17 +91,20 @@
     if not budget.claims and bytebudget.may_hold(budget, size, is_body):
         _take(held, size)
         return held
-    room = asyncio.Event()
+    is_over = asyncio.Event()
 
     def take():
         held.size = size
-        room.set()
+        is_over.set()
 
     claim = bytebudget.claim(budget, size, is_body, take)
     try:
-        with contextlib.suppress(TimeoutError):
+        with (
+            contextlib.suppress(TimeoutError),
+            bytestream.calling_at_end(stream, is_over.set),
+        ):
             async with asyncio.timeout_at(ends_at):
-                await room.wait()
+                await is_over.wait()
     finally:
         bytebudget.abandon_claim(budget, claim)
-    return held if room.is_set() else None
+    return held if held.size else None
--- a/packages/front/src/flamingolift_front/tests/test_held_bodies.py
+++ b/packages/front/src/flamingolift_front/tests/test_held_bodies.py
@@ -197,6 +197,23 @@
         await wait_released(site)
 
 
+# Guards against a caller that has left and before whose claim for memory others wait.
+async def test_caller_that_left_keeps_no_place_before_others():
+    async with run_site() as site:
+        site.pause_s = 0.8
+        first = asyncio.create_task(upload(site, 1, size=150_000))
+        await asyncio.sleep(0.1)
+        _reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(make_head(2, "Content-Length: 290000", deadline_ms=9000))
+        await asyncio.sleep(0.1)
+        assert site.front.byte_budget.claims
+        writer.transport.abort()
+        text, time_s = await upload(site, 3, size=100_000, deadline_ms=4000)
+        assert text.split()[1] == "200"
+        assert time_s < 2 * site.pause_s
+        await first
+
+
 async def test_memory_is_released_when_the_instance_stops():
     async with run_site() as site:
         task = asyncio.create_task(upload(site, 1))
--- a/packages/front/src/flamingolift_front/tests/test_requests_behind.py
+++ b/packages/front/src/flamingolift_front/tests/test_requests_behind.py
@@ -3,7 +3,14 @@
 import asyncio
 
 import h11
-from flamingolift_front import answering, callers, forwarding, httpcall, readahead
+from flamingolift_front import (
+    answering,
+    bytestream,
+    callers,
+    forwarding,
+    httpcall,
+    readahead,
+)
 from pipelines import BOOKING, pipeline_site, read_answers, request, wait_until
 from test_unanswered_requests import connect, read_answer
 
@@ -231,6 +238,19 @@
         assert (await read_rest(caller)).count(b"HTTP/1.1 50") == 2
 
 
+# Guards against a 100 that is written into the answer to an earlier request when the
+# connection takes no more input.
+async def test_body_is_not_asked_for_out_of_turn():
+    async with pipeline_site() as (site, server), connect(site) as caller:
+        server.work_s = {"q1": 0.2}
+        expecting = request(2, BOOKING, b"seat", "Expect: 100-continue\r\n")
+        caller.writer.write(request(1) + expecting[:-4])
+        await wait_until(lambda: server.started and only_connection(site).reader)
+        bytestream.hold_input(only_connection(site).stream)
+        raw = await read_rest(caller)
+        assert raw.startswith(b"HTTP/1.1 200") and raw.count(b"HTTP/1.1") == 1
+
+
 # Guards against a request that is dropped at the exit behind one that asks for another
 # protocol, as the parser waits for the answer to that.
 async def test_request_behind_an_upgrade_is_answered_at_the_exit():
