Hold the input of a draining connection only behind many requests

Input is held only behind the sixteenth request that is read after that; what is discarded behind the last answer is counted in bytes_unread.

--- a/packages/front/src/flamingolift_front/callers.py
+++ b/packages/front/src/flamingolift_front/callers.py
@@ -31,6 +31,9 @@
     "end_requests",
 ]
 
+MAX_DRAINED_REQUESTS = 16
+"""Requests of a connection that are read once the listeners are closed. A caller that
+always has sent more would never be told of the stop."""
 _ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """States of a parser that has encoded a complete answer."""
 LINGER_S = 2.0
@@ -56,6 +59,8 @@
         req: CallerRequest that is being answered, or None.
         trace: Trace of that request.
         end: How that request ends, as `request_ends` counts it.
+        drained: Number of requests that were read since the listeners are closed.
+        discarded: Number of bytes that were taken behind the last answer.
         responding: Whether bytes of the answer to it were sent.
         refused: Whether a request that could not be read was refused.
     """
@@ -65,6 +70,8 @@
         "arrived",
         "busy",
         "closing",
+        "discarded",
+        "drained",
         "end",
         "from_instance",
         "parser",
@@ -94,6 +101,8 @@
         self.req = None
         self.trace = None
         self.end = ""
+        self.drained = 0
+        self.discarded = 0
         self.responding = False
         self.refused = False
 
@@ -139,9 +148,6 @@
         front: Front, whose listeners are closed.
     """
     front.draining = True
-    for conn in front.connections:
-        if conn.req is not None:
-            bytestream.hold_input(conn.stream)
     close_idle(front)
 
 
@@ -318,6 +324,7 @@
             front.log, "request_unanswered", id=request_id, cause=cause, age_ms=age_ms
         )
     unread = len(conn.stream.buffer) + len(conn.reading.trailing_data[0])
+    unread += conn.discarded
     if unread or dropped:
         log_event(
             front.log,
@@ -339,7 +346,8 @@
     if received.ok is None:
         return False
     conn.req, conn.trace, conn.responding = received.ok, exchange.trace, False
-    if front.draining:
+    conn.drained += front.draining
+    if conn.drained > MAX_DRAINED_REQUESTS:
         bytestream.hold_input(conn.stream)
     front.metrics.requests_read.inc()
     readahead.read_ahead(front, conn)
@@ -364,7 +372,8 @@
     bytestream.write_eof(conn.stream)
     ends_at = time.monotonic() + LINGER_S
     with contextlib.suppress(TimeoutError, ConnectionError):
-        while await bytestream.read_before(conn.stream, ends_at):
+        while data := await bytestream.read_before(conn.stream, ends_at):
+            conn.discarded += len(data)
             if time.monotonic() >= ends_at:
                 break
 
