Release the bytes of control requests by the budget's own function

The count of a control request was taken back as a negative hold, so that a body that waited for just this memory was not told, and waited for the next release or was refused. bytebudget.release grants what fits. Red before: the claim stayed ungranted.

--- a/packages/front/src/flamingolift_front/controlbytes.py
+++ b/packages/front/src/flamingolift_front/controlbytes.py
@@ -38,8 +38,9 @@
         request: RequestBytes.
         received: Bytes of the next request that have arrived.
     """
-    _hold(front, request, -request.held)
-    request.received = received
+    for budget in _budgets(front):
+        bytebudget.release(budget, request.held)
+    request.held, request.received = 0, received
 
 
 def count_bytes(front, stream, request, size):
--- a/packages/front/src/flamingolift_front/tests/test_control_memory.py
+++ b/packages/front/src/flamingolift_front/tests/test_control_memory.py
@@ -1,9 +1,11 @@
 """Many connections to the control ports that send more than requests."""
 
 import asyncio
+import types
 
 import pytest
-from flamingolift_front import bytestream, crashsync, lookups
+from flamingolift_decisions import bytebudget
+from flamingolift_front import bytestream, controlbytes, crashsync, lookups
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.responses import text_response
 from frontviews import make_front
@@ -82,3 +84,18 @@
         await asyncio.gather(*(send() for _peer in range(24)))
         await asyncio.gather(*front.tasks, return_exceptions=True)
     assert front.control_budget.other_bytes == 0
+
+
+# Guards against a body that waits on for memory which a control request has released.
+def test_released_bytes_go_to_the_body_that_waits_for_them():
+    front = make_front()
+    front.byte_budget = bytebudget.ByteBudget(10_000)
+    transport = types.SimpleNamespace(is_closing=lambda: False)
+    stream = types.SimpleNamespace(transport=transport)
+    request, granted = controlbytes.RequestBytes(), []
+    controlbytes.count_bytes(front, stream, request, 9000)
+    bytebudget.claim(front.byte_budget, 5000, False, lambda: granted.append(5000))
+    assert not granted
+    controlbytes.restart_count(front, request, 0)
+    assert granted == [5000]
+    assert front.control_budget.other_bytes == 0
