Compute a request's deadline once, and name no platform header in a test

read_request and _build_request each parsed the deadline from the same head; it is passed on now. A comment in a test named a header of the users' platform. No behaviour changes; the same tests pass as before.

--- a/packages/front/src/flamingolift_front/requestreading.py
+++ b/packages/front/src/flamingolift_front/requestreading.py
@@ -84,7 +84,7 @@
         return Error(Fault(ResultCode.BAD_REQUEST, str(exc)))
     if body.is_error():
         return body
-    return _build_request(front, conn, head, body.ok, received_at)
+    return _build_request(front, conn, head, body.ok, received_at, deadline_at)
 
 
 def _deadline(front, head, received_at):
@@ -153,7 +153,7 @@
     return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n") + fields
 
 
-def _build_request(front, conn, head, body, received_at) -> Result:
+def _build_request(front, conn, head, body, received_at, deadline_at) -> Result:
     if head.method == b"CONNECT":
         # Its answer would open a tunnel, of which no server knows here.
         return Error(Fault(ResultCode.BAD_REQUEST, "CONNECT is not supported"))
@@ -178,7 +178,7 @@
             header(headers, "host", ""),
             _cookie(headers, names.object_cookie),
             received_at,
-            _deadline(front, head, received_at),
+            deadline_at,
             attempts_left,
             held,
         )
--- a/packages/front/src/flamingolift_front/tests/test_handover_fields.py
+++ b/packages/front/src/flamingolift_front/tests/test_handover_fields.py
@@ -21,7 +21,7 @@
 
 
 # Guards against an instance's own answer that is taken for one of a server which had
-# answered before: without Server-Limit, it would end that server's limit.
+# answered before: as it names no limit, it would end that server's limit.
 def test_own_answer_names_no_server():
     answer = make_answer()
     write_fields(answer, make_trace(Outcome.ANSWERED, Outcome.LATE), is_own=True)
