Prove how recent a view is, and leave sources that cannot

Cause: that a source answers was taken for proof that its view is recent. A relay whose own watch was silent answered every heartbeat with "no changes"; a watch that waits hides its silence for up to 26.5 s; nothing bounded the age of a view.

Change: an instance records proofs (`decisions.freshness`): the store was at a revision as of some moment. A heartbeat asks a relay for a view that is proven to be recent; one instance of each region renews proofs, from the first of all regions, and that one reads the store's revision about once a second. A watch that delivers nothing of a change that is known to exist is begun anew; a follower leaves its relays when the proof expires (0.76 of the time in which a change must be in force). All limits are shares of the site's config_apply. The age is a metric, stands in `request_done`, and changes of the source are logged (`source_changed`, `watch_silent`, `view_unproven`).

Two tests of relaysync took a failed probe for the only way to notice silent relays; the proof may expire before. They accept both ends, within the same time.

Ruled out: large transfers (the reproduction has one more route); views that go back.

--- a/integration/test_soak.py
+++ b/integration/test_soak.py
@@ -7,9 +7,8 @@
 from bench.soaking.events import EVENTS
 from bench.soaking.play import play_run, summarize
 
-KNOWN_FAULTS = {"busy", "silence"}
-"""Events that show known faults: a 503 of a server that ran a booking is passed on,
-and an instance whose watch goes silent hears of no change (review case 3)."""
+KNOWN_FAULTS = {"busy"}
+"""Events that show known faults: a 503 of a server that ran a booking is passed on."""
 
 # Announces the close with the next answer, and drops the requests behind it.
 DROPS_THE_REST = """
--- a/packages/decisions/src/flamingolift_decisions/relays.py
+++ b/packages/decisions/src/flamingolift_decisions/relays.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "RELAYS_PER_REGION",
+    "proof_source",
     "relays_of_region",
     "relays_to_follow",
     "transfer_order",
@@ -71,6 +72,38 @@
     return relays
 
 
+def proof_source(entries, region, instance_id):
+    """Returns the instance that is asked for a proof of how recent the view is.
+
+    In each region one of those that watch the store, the first, is asked by the
+    others, and the first of all regions by those of the other regions. So a few calls
+    of the store prove the views of the whole fleet.
+
+    Args:
+        entries: Iterable of InstanceEntry.
+        region: Region of the instance that asks.
+        instance_id: Its name.
+
+    Returns:
+        InstanceEntry; None when the instance asks the store itself.
+    """
+    live = [entry for entry in entries if entry.state == "live"]
+    first = _first_watcher(live, region)
+    if first is not None and first.instance_id == instance_id:
+        first = _first_watcher(live, min(entry.region for entry in live))
+    if first is None or first.instance_id == instance_id:
+        return None
+    return first
+
+
+def _first_watcher(live, region):
+    relays = relays_of_region(live, region)
+    if relays:
+        return relays[0]
+    names = {entry.instance_id: entry for entry in live if entry.region == region}
+    return names[rendezvous_order(region, names)[0]] if names else None
+
+
 def transfer_order(relays, instance_id):
     """Orders relays as sources of a large update for one instance.
 
--- a/packages/decisions/src/flamingolift_decisions/tests/test_relays.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_relays.py
@@ -74,3 +74,19 @@
     firsts = [relays.transfer_order(entries, f"f{n}")[0] for n in range(1000)]
     assert firsts.count("i0") <= 60
     assert min(firsts.count("i1"), firsts.count("i2")) >= 380
+
+
+@given(st.integers(1, 60), st.integers(1, 4))
+def test_proofs_come_from_one_instance_of_each_region(count, regions):
+    entries = make_instances(count, regions)
+    asked = {}
+    for entry in entries:
+        source = relays.proof_source(entries, entry.region, entry.instance_id)
+        asked[entry.instance_id] = source and source.instance_id
+    (root,) = [name for name, source in asked.items() if source is None]
+    by_region = {}
+    for entry in entries:
+        by_region.setdefault(entry.region, set()).add(asked[entry.instance_id])
+    for sources in by_region.values():
+        assert root in sources or None in sources
+        assert len(sources) <= 2
--- a/packages/front/src/flamingolift_front/answering.py
+++ b/packages/front/src/flamingolift_front/answering.py
@@ -15,6 +15,7 @@
 from flamingolift_front.sending import Outcome
 from flamingolift_front.sendresults import record_stream_end
 from flamingolift_front.state import note_streamed
+from flamingolift_front.viewage import view_age_ms
 
 __all__ = [
     "cancelled_by_end",
@@ -74,6 +75,7 @@
         service=trace.service,
         policy=trace.policy,
         revision=front.view.revision,
+        view_age_ms=view_age_ms(front.view),
         elapsed_ms=round(elapsed_s * 1000.0, 1),
         sends=[_encode_send(send) for send in trace.sends],
         withheld=trace.withheld,
--- a/packages/front/src/flamingolift_front/frontmetrics.py
+++ b/packages/front/src/flamingolift_front/frontmetrics.py
@@ -6,6 +6,7 @@
 from prometheus_client.exposition import generate_latest
 
 from flamingolift_front.pathrecords import lost_services
+from flamingolift_front.viewage import view_age_ms
 
 __all__ = ["FrontMetrics", "render_metrics"]
 
@@ -160,6 +161,7 @@
             for name, doc in (
                 ("policy_number", "Version of the routing policy in force"),
                 ("view_revision", "Revision of the store that was taken"),
+                ("view_age_ms", "Age of the proof that the view lacks nothing (ms)"),
                 ("store_lost", "1 while the store does not answer"),
                 ("instances", "Instances known to be live"),
                 ("backend_servers", "Backend servers known"),
@@ -182,6 +184,7 @@
     view, gauges = front.view, front.metrics.gauges
     gauges["policy_number"].set(view.table.number if view.table else 0)
     gauges["view_revision"].set(view.revision or 0)
+    gauges["view_age_ms"].set(view_age_ms(view))
     gauges["store_lost"].set(view.store_failed_at is not None)
     gauges["instances"].set(len(view.instances))
     gauges["backend_servers"].set(len(view.backends.backends))
--- a/packages/front/src/flamingolift_front/internalapi.py
+++ b/packages/front/src/flamingolift_front/internalapi.py
@@ -12,8 +12,8 @@
 from flamingolift_front.heldrequests import serve_held, serve_hold
 from flamingolift_front.helperlist import serve_paths
 from flamingolift_front.limitgrants import serve_grant
-from flamingolift_front.peersync import serve_view
 from flamingolift_front.responses import json_response, problem_response
+from flamingolift_front.viewserving import serve_view
 
 __all__ = ["handle_internal"]
 
--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -2,8 +2,9 @@
 
 A relay that loses power or its path sends no reset, and a long poll to it looks like
 one without changes. One relay of each follower is therefore polled in short intervals,
-as a heartbeat. When it is silent, the others are probed, and the store is watched when
-they are silent too.
+as a heartbeat, and has to prove that its own view is recent. When it does not, the
+others are probed, and the store is watched when they fail too, or at the latest when
+the proof of the view expires.
 
 Every relay reports a change at once. A large one is only announced, and each follower
 transfers it from one relay; the order in which it asks them is its own, so that the
@@ -16,10 +17,12 @@
 import enum
 import time
 
+from flamingolift_decisions.freshness import heartbeat_wait, renewal_age
 from flamingolift_decisions.relays import relays_to_follow, transfer_order
 
 from flamingolift_front import peerlink, peersync
 from flamingolift_front.eventlog import log_event
+from flamingolift_front.viewage import STALL_S, wait_expired
 from flamingolift_front.viewera import is_behind_era
 
 __all__ = ["FollowingEnd", "current_relays", "follow_relays"]
@@ -31,15 +34,9 @@
 """Pause before a relay that failed is polled again (s)."""
 PROBE_WAIT_S = 0.01
 """Wait of a request that only probes whether a relay responds (s)."""
-HEARTBEAT_WAIT_S = 0.5
-"""Wait of the polls of the relay that serve as a heartbeat (s)."""
 HEARTBEAT_TIMEOUT_S = 0.5
-"""Longest time for the response to a heartbeat or a probe beyond its wait (s). With the
-wait, the probe and a call of the store it is below the shortest time in which a change
-must be in force, and longer than a relay needs to decode a large policy."""
-INLINE_BYTES = 8192
-"""Size of the changes from which a relay only announces them (bytes): smaller ones take
-less time than a second request."""
+"""Longest time for the response to a heartbeat or a probe beyond its wait (s), longer
+than a relay needs to decode a large policy."""
 MIN_CHECK_S = 0.05
 """Shortest pause between two looks at a transfer (s)."""
 PACE_S = 2.0
@@ -48,8 +45,6 @@
 HEDGE_S = 0.5
 """Lag behind that pace at which a follower asks the next relay for the update (s): the
 followers of a relay share its link, and their first bytes wait."""
-STALL_S = 0.1
-"""Lateness of a heartbeat's end from which the own event loop was blocked (s)."""
 ERA_WAIT_S = 1.0
 """Time for which a follower that knows of a restored store waits for its relays (s)."""
 ANNOUNCED_TIMEOUT_S = 1.4
@@ -63,6 +58,7 @@
     RELAYS_CHANGED = "relays_changed"
     RELAYS_FAILED = "relays_failed"
     OVERDUE = "overdue"
+    UNPROVEN = "unproven"
 
 
 class Following:
@@ -98,6 +94,25 @@
         self.transfers = 0
 
 
+class _PollLimits:
+    """Times of one poll of a relay.
+
+    Attributes:
+        pause_s: Pause before it (s).
+        wait_s: Time for which the relay may wait for changes (s).
+        margin_s: Longest time for the response beyond that (s).
+        max_age_s: Largest age that the relay's view may have (s), or None for any.
+    """
+
+    __slots__ = ("margin_s", "max_age_s", "pause_s", "wait_s")
+
+    def __init__(self, pause_s, wait_s, margin_s, max_age_s):
+        self.pause_s = pause_s
+        self.wait_s = wait_s
+        self.margin_s = margin_s
+        self.max_age_s = max_age_s
+
+
 def current_relays(front):
     """Returns the InstanceEntry objects of the relays that an instance follows now.
 
@@ -125,6 +140,7 @@
     following = Following()
     overdue = asyncio.ensure_future(_wait_overdue(front, following))
     restored = asyncio.ensure_future(_wait_behind_era(front))
+    expired = asyncio.ensure_future(wait_expired(front, following.announced.is_set))
     pending, failing = {}, set()
     watched, seen = order[0], front.view.revision
     try:
@@ -134,19 +150,23 @@
                 if name not in pending:
                     pause_s = RELAY_RETRY_S if name in failing else 0.0
                     wait_s, margin_s = peersync.MAX_WAIT_S, peersync.RESPONSE_TIMEOUT_S
+                    max_age_s = None
                     if name == watched:
-                        wait_s, margin_s = HEARTBEAT_WAIT_S, HEARTBEAT_TIMEOUT_S
+                        wait_s = heartbeat_wait(front.cfg.apply_s)
+                        margin_s = HEARTBEAT_TIMEOUT_S
+                        max_age_s = renewal_age(front.cfg.apply_s)
                     link = _link_to(front, entry)
-                    poll = _poll_relay(
-                        front, following, link, ranks[name], pause_s, wait_s, margin_s
-                    )
+                    limits = _PollLimits(pause_s, wait_s, margin_s, max_age_s)
+                    poll = _poll_relay(front, following, link, ranks[name], limits)
                     pending[name] = asyncio.ensure_future(poll)
             await asyncio.wait(
-                [overdue, restored, *pending.values()],
+                [overdue, restored, expired, *pending.values()],
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if overdue.done() or restored.done():
                 return FollowingEnd.OVERDUE
+            if expired.done():
+                return FollowingEnd.UNPROVEN
             relay_failed = False
             for name in [name for name, task in pending.items() if task.done()]:
                 if pending.pop(name).result():
@@ -154,8 +174,18 @@
                 elif name not in failing:
                     failing.add(name)
                     relay_failed = True
-            if relay_failed and not await _any_relay_responds(front, relays, failing):
-                return FollowingEnd.RELAYS_FAILED
+            if relay_failed:
+                probe = asyncio.ensure_future(
+                    _any_relay_responds(front, relays, failing)
+                )
+                await asyncio.wait(
+                    [probe, expired], return_when=asyncio.FIRST_COMPLETED
+                )
+                if not probe.done():
+                    probe.cancel()
+                    return FollowingEnd.UNPROVEN
+                if not probe.result():
+                    return FollowingEnd.RELAYS_FAILED
             is_waiting = following.announced.is_set()
             if watched in failing and len(failing) < len(order) and not is_waiting:
                 watched = next(name for name in order if name not in failing)
@@ -167,7 +197,7 @@
                 await asyncio.sleep(RELAY_PAUSE_S)
         return FollowingEnd.RELAYS_CHANGED
     finally:
-        tasks = [overdue, restored, *pending.values()]
+        tasks = [overdue, restored, expired, *pending.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -211,18 +241,24 @@
     return time.monotonic() - following.announced_at - PACE_S * done
 
 
-async def _poll_relay(front, following, link, rank, pause_s, wait_s, margin_s):
+async def _poll_relay(front, following, link, rank, limits):
     """Applies a relay's next update after a pause; returns whether it responded."""
-    await asyncio.sleep(pause_s)
+    await asyncio.sleep(limits.pause_s)
     started = time.monotonic()
     try:
         update = await peersync.fetch_update(
-            front, link, wait_s, INLINE_BYTES, margin_s=margin_s
+            front,
+            link,
+            limits.wait_s,
+            peersync.INLINE_BYTES,
+            margin_s=limits.margin_s,
+            max_age_s=limits.max_age_s,
         )
     except peerlink.PeerError as exc:
         _log_failure(front, link, exc)
         # When the own event loop was blocked, the response may have been there.
-        return time.monotonic() - started > wait_s + margin_s + STALL_S
+        limit_s = limits.wait_s + limits.margin_s + STALL_S
+        return time.monotonic() - started > limit_s
     if update.announced_bytes:
         _record_announcement(front.view, following, update)
         if await _arrives_elsewhere(front.view, following, update.revision, rank):
@@ -304,7 +340,12 @@
 async def _probe_relay(front, link):
     try:
         await peersync.fetch_update(
-            front, link, PROBE_WAIT_S, INLINE_BYTES, margin_s=HEARTBEAT_TIMEOUT_S
+            front,
+            link,
+            PROBE_WAIT_S,
+            peersync.INLINE_BYTES,
+            margin_s=HEARTBEAT_TIMEOUT_S,
+            max_age_s=renewal_age(front.cfg.apply_s),
         )
     except peerlink.PeerError as exc:
         _log_failure(front, link, exc)
--- a/packages/front/src/flamingolift_front/run.py
+++ b/packages/front/src/flamingolift_front/run.py
@@ -19,6 +19,7 @@
 from flamingolift_front.eventlog import flush_log, log_event
 from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.registration import maintain_registration
+from flamingolift_front.viewproof import keep_proven
 from flamingolift_front.viewsource import pull_from_peers, sync_view
 
 __all__ = ["run_front"]
@@ -68,6 +69,7 @@
     for function in (
         sync_view,
         pull_from_peers,
+        keep_proven,
         _close_idle_connections,
         loopwatch.watch_loop,
         pathwatch.watch_paths,
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -9,6 +9,7 @@
 from flamingolift_decisions.affinity import AffinityCache
 from flamingolift_decisions.backends import BackendView
 from flamingolift_decisions.bytebudget import ByteBudget, budget_for
+from flamingolift_decisions.freshness import Freshness
 from flamingolift_decisions.instancecount import InstanceCount
 from flamingolift_decisions.recenttimes import RecentTimes
 from flamingolift_decisions.regioncost import RegionCosts
@@ -119,6 +120,9 @@
         watch: Function of a position and a time to wait (s); returns a tuple of a list
             of ViewChange and the position, or None when the store no longer has the
             changes since that position.
+        read_position: Function of a timeout (s); returns the position of the store.
+        is_receiving: Function that returns whether the answer to the watch in progress
+            has begun to arrive.
         register: Function of an InstanceEntry and a time to live (s); returns the id of
             a lease.
         renew: Function of a lease's id; returns False when the lease has expired.
@@ -126,11 +130,32 @@
         abort_watch: Plain function without arguments; makes a waiting watch fail.
     """
 
-    __slots__ = ("abort_watch", "read_all", "register", "renew", "resign", "watch")
+    __slots__ = (
+        "abort_watch",
+        "is_receiving",
+        "read_all",
+        "read_position",
+        "register",
+        "renew",
+        "resign",
+        "watch",
+    )
 
-    def __init__(self, read_all, watch, register, renew, resign, abort_watch):
+    def __init__(
+        self,
+        read_all,
+        watch,
+        read_position,
+        is_receiving,
+        register,
+        renew,
+        resign,
+        abort_watch,
+    ):
         self.read_all = read_all
         self.watch = watch
+        self.read_position = read_position
+        self.is_receiving = is_receiving
         self.register = register
         self.renew = renew
         self.resign = resign
@@ -151,6 +176,12 @@
         encoded: EncodedUpdate that peers asked for last; None after a change.
         revision: Position of the store up to which changes were applied
             (`storeposition`); None before the first read and after a lost history.
+        freshness: Freshness, which says how old the view may be at most.
+        behind: Event that is set while the store is known to have had more.
+        doubted: Event that is set while another instance claims to have more.
+        follows: Whether the view comes from relays at present.
+        proof_task: Task that renews the proof of the view, or None.
+        unproven_at: Time of the last attempt at that which failed (s, monotonic).
         era: Latest era of the store that an answer named.
         era_changed: Event that is set and replaced when the era changes.
         applied_era: Era of the last changes that were applied.
@@ -171,22 +202,28 @@
     __slots__ = (
         "applied_era",
         "backends",
+        "behind",
         "changed",
         "documents",
+        "doubted",
         "encoded",
         "era",
         "era_changed",
+        "follows",
+        "freshness",
         "gone",
         "instance_count",
         "instances",
         "packed",
         "pending_removals",
+        "proof_task",
         "recent_after",
         "recent_changes",
         "revision",
         "store_failed_at",
         "store_recovered_at",
         "table",
+        "unproven_at",
     )
 
     def __init__(self):
@@ -198,6 +235,12 @@
         self.packed = {}
         self.encoded = None
         self.revision = None
+        self.freshness = Freshness()
+        self.behind = asyncio.Event()
+        self.doubted = asyncio.Event()
+        self.follows = False
+        self.proof_task = None
+        self.unproven_at = -math.inf
         self.era = 0
         self.era_changed = asyncio.Event()
         self.applied_era = 0
@@ -235,6 +278,8 @@
         connections: Set of the callers' CallerConnection that are open.
         links: Map of (host, port) to the PeerLink to a relay.
         grant_links: Map of (host, port) to a list of idle PeerLink to a grantor.
+        proof_link: PeerLink to the instance that is asked to prove the view; None
+            while there is none.
         failed_grantors: Map of instance id to the time until which it is not asked for
             grants (s, monotonic).
         byte_budget: ByteBudget of what its buffers hold.
@@ -270,6 +315,7 @@
         "metrics",
         "paths",
         "pool",
+        "proof_link",
         "region_costs",
         "response_times",
         "retry_budgets",
@@ -305,6 +351,7 @@
         self.connections = set()
         self.links = {}
         self.grant_links = {}
+        self.proof_link = None
         self.failed_grantors = {}
         self.byte_budget = budget_for(cfg.memory_limit_mb)
         self.control_budget = ByteBudget(MAX_CONTROL_BYTES)
--- a/packages/front/src/flamingolift_front/tests/frontviews.py
+++ b/packages/front/src/flamingolift_front/tests/frontviews.py
@@ -4,7 +4,7 @@
 
 from flamingolift_front.eventlog import EventLog
 from flamingolift_front.frontmetrics import FrontMetrics
-from flamingolift_front.state import Front
+from flamingolift_front.state import Front, StorePort
 from flamingolift_model.frontsettings import FrontSettings, HeaderNames
 from flamingolift_model.plan import InstanceEntry
 from flamingolift_model.routing import Route, RoutingPolicy, WeightedService
@@ -55,3 +55,13 @@
     )
     log = EventLog(os.open(os.devnull, os.O_WRONLY), cfg.instance_id)
     return Front(cfg, HeaderNames(), None, log, FrontMetrics())
+
+
+def make_current_store(front):
+    """Returns a StorePort that only says that the view of a front is current."""
+
+    async def read_position(_timeout_s):
+        return front.view.revision
+
+    names = [name for name in StorePort.__slots__ if name != "read_position"]
+    return StorePort(read_position=read_position, **dict.fromkeys(names))
--- a/packages/front/src/flamingolift_front/tests/test_relaysync.py
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -9,15 +9,21 @@
 from flamingolift_front.bytestream import ByteStream
 from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.lookups import serve_control
-from flamingolift_front.peersync import RELAY_GRACE_S
 from flamingolift_front.state import notify_change
+from flamingolift_front.viewserving import RELAY_GRACE_S
 from flamingolift_front.viewsync import apply_changes
 from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
-from frontviews import make_entry, make_policy
+from frontviews import make_current_store, make_entry, make_policy
 
 CHUNK_BYTES = 16_384
 """Bytes that a link carries at once (bytes)."""
 
+SILENCE_ENDS = {
+    relaysync.FollowingEnd.RELAYS_FAILED,
+    relaysync.FollowingEnd.UNPROVEN,
+}
+"""Ends of following silent relays: a failed probe, or a proof that expired before."""
+
 
 class Relay:
     """A front that serves its view on a port of its own.
@@ -57,6 +63,7 @@
 
 async def start_relay(front):
     relay = Relay(front)
+    front.store = make_current_store(front)
 
     async def handle(front, target):
         relay.targets.append(target)
@@ -280,7 +287,7 @@
         relay.link.bytes_per_s = 0.001
     silent_at = time.monotonic()
     end = await asyncio.wait_for(follow, 5.0)
-    assert end is relaysync.FollowingEnd.RELAYS_FAILED
+    assert end in SILENCE_ENDS
     # The rule allows 2.5 s, of which the store's answer takes a part.
     assert time.monotonic() - silent_at < 2.0
 
@@ -299,7 +306,7 @@
         relay.link.bytes_per_s = 0.001
     silent_at = time.monotonic()
     end = await asyncio.wait_for(follow, 5.0)
-    assert end is relaysync.FollowingEnd.RELAYS_FAILED
+    assert end in SILENCE_ENDS
     assert time.monotonic() - silent_at < 2.0
 
 
@@ -315,7 +322,7 @@
     assert set(order) == set(names)
     polls = []
 
-    async def poll(_front, _following, _link, rank, _pause_s, _wait_s, _margin_s):
+    async def poll(_front, _following, _link, rank, _limits):
         polls.append(rank)
         if len(polls) > len(names):
             await asyncio.sleep(3600.0)
--- a/packages/front/src/flamingolift_front/viewsource.py
+++ b/packages/front/src/flamingolift_front/viewsource.py
@@ -6,13 +6,16 @@
 """
 
 import asyncio
+import contextlib
 import time
 
+from flamingolift_decisions import freshness
 from flamingolift_model import FaultError
 
 from flamingolift_front import httpcall, peerlink, peersync, relaysync, viewsync
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.relaysync import FollowingEnd
+from flamingolift_front.viewage import view_age_ms
 
 __all__ = ["pull_from_peers", "sync_view"]
 
@@ -56,15 +59,23 @@
     pause = RETRY_MIN_S
     direct_until = short_watch_until = 0.0
     is_overdue = False
+    cause, source = "start", None
     while True:
         now = time.monotonic()
         relays = relaysync.current_relays(front) if now >= direct_until else []
-        if (
-            relays
-            and front.view.store_failed_at is None
-            and front.view.revision is not None
-        ):
-            end = await relaysync.follow_relays(front, relays)
+        if front.view.store_failed_at is not None or front.view.revision is None:
+            relays = []
+        former, source = source, ",".join(r.instance_id for r in relays) or "store"
+        if source != former:
+            _log_source(front, source, cause)
+            cause = "relays_changed"
+        if relays:
+            front.view.follows = True
+            try:
+                end = await relaysync.follow_relays(front, relays)
+            finally:
+                front.view.follows = False
+            cause = end.value
             if end is not FollowingEnd.RELAYS_CHANGED:
                 ended_at = time.monotonic()
                 direct_until = ended_at + DIRECT_WATCH_S
@@ -86,25 +97,49 @@
             # The relays work; only this update was read from the store.
             direct_until, is_overdue = 0.0, False
         elif changed:
-            await asyncio.sleep(WATCH_PAUSE_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_PAUSE_S):
+                    await front.view.behind.wait()
+
+
+def _log_source(front, source, cause):
+    log_event(
+        front.log,
+        "source_changed",
+        source=source,
+        cause=cause,
+        revision=front.view.revision,
+        age_ms=view_age_ms(front.view),
+    )
 
 
 async def pull_from_peers(front):
-    """Pulls newer views from random peers while the store is unavailable.
+    """Pulls newer views from random peers while no source proves the own one.
 
     Args:
         front: Front.
     """
     while True:
         await asyncio.sleep(PULL_INTERVAL_S * front.rng.uniform(0.8, 1.2))
-        store_failed_at = front.view.store_failed_at
-        if store_failed_at is None or time.monotonic() - store_failed_at < PULL_AFTER_S:
+        if not _needs_peers(front):
             continue
         address = _pick_peer(front)
         if address is not None:
             await _pull_from(front, address)
 
 
+def _needs_peers(front):
+    """Returns whether the store has been away for long, or the view is unproven."""
+    view, now = front.view, time.monotonic()
+    if view.store_failed_at is not None:
+        return now - view.store_failed_at >= PULL_AFTER_S
+    limit_s = freshness.expiry_age(front.cfg.apply_s)
+    return (
+        view.revision is not None
+        and freshness.proof_age(view.freshness, now) >= limit_s
+    )
+
+
 async def _pull_from(front, address):
     link = peerlink.PeerLink(address)
     peer = peerlink.link_name(link)
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -19,6 +19,12 @@
 from flamingolift_front import serverpool
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.state import ViewChange, notify_change
+from flamingolift_front.viewage import (
+    note_applied,
+    note_position,
+    note_proof,
+    wait_silent,
+)
 from flamingolift_front.viewera import is_behind_era, is_obsolete
 
 __all__ = [
@@ -101,15 +107,17 @@
         view.revision = None
     if view.revision is None:
         accept_stale = not view.documents
+        sent_at = time.monotonic()
         items, revision = await call_store(
             front, "read", front.store.read_all(accept_stale)
         )
+        if not accept_stale:
+            note_position(view, revision, sent_at, time.monotonic())
         apply_snapshot(front, items, revision)
         return False
     # During an outage a watch only probes the store, so it must not wait for changes.
     wait_s = max_wait_s if view.store_failed_at is None else 0.0
-    watch = front.store.watch(view.revision, wait_s)
-    found = await call_store(front, "watch", watch)
+    found = await call_store(front, "watch", _watch(front, wait_s))
     if found is None:
         log_event(front.log, "store_history_lost", revision=view.revision)
         view.revision = None
@@ -120,6 +128,42 @@
     return bool(changes)
 
 
+async def _watch(front, wait_s):
+    """Watches the store; again, without waiting, when the watch has gone silent.
+
+    Returns:
+        Tuple of the list of ViewChange and the position; None when the changes since
+        the revision of the view cannot be had by a watch.
+
+    Raises:
+        FaultError: The store did not answer.
+    """
+    view = front.view
+    sent_at = time.monotonic()
+    watch = asyncio.ensure_future(front.store.watch(view.revision, wait_s))
+    silence = asyncio.ensure_future(wait_silent(front))
+    try:
+        await asyncio.wait([watch, silence], return_when=asyncio.FIRST_COMPLETED)
+        if watch.done():
+            found = watch.result()
+        else:
+            watch.cancel()
+            await asyncio.wait([watch])
+            known = view.freshness.newest
+            log_event(front.log, "watch_silent", revision=view.revision, newest=known)
+            sent_at = time.monotonic()
+            found = await front.store.watch(view.revision, 0.0)
+            if found is not None and found[1] < known:
+                return None
+    finally:
+        watch.cancel()
+        silence.cancel()
+        await asyncio.gather(watch, silence, return_exceptions=True)
+    if found is not None:
+        note_proof(view, found[1], sent_at, time.monotonic())
+    return found
+
+
 def apply_snapshot(front, items, revision, source="store"):
     """Replaces the view by a snapshot of the store.
 
@@ -199,6 +243,7 @@
     _update_instance_count(front)
     view.revision = revision
     view.applied_era = era_of(revision)
+    note_applied(view, time.monotonic())
     _record_recent(view, changes)
 
 
--- a/packages/front/src/flamingolift_front/viewupdates.py
+++ b/packages/front/src/flamingolift_front/viewupdates.py
@@ -4,6 +4,7 @@
 update that is larger than the peer asked for is announced instead of sent.
 """
 
+import math
 import zlib
 
 import msgpack
@@ -13,6 +14,7 @@
 from flamingolift_model.viewupdate import PackedChange, PackedUpdate
 
 from flamingolift_front.state import EncodedUpdate, PackedDocument, ViewChange
+from flamingolift_front.viewage import view_age_ms
 from flamingolift_front.viewsync import UNREADABLE
 
 __all__ = ["ViewUpdate", "decode_update", "encode_update"]
@@ -46,6 +48,7 @@
     Attributes:
         revision: Revision of the peer's view.
         is_snapshot: Whether `changes` holds the whole view instead of the difference.
+        proof_age_s: Age of the peer's proof that its view lacked nothing (s), or None.
         announced_bytes: Size of the changes when they were left out (bytes), else 0.
         changes: List of ViewChange. The document of one that cannot be used is None
             for a server; otherwise it is `UNREADABLE` in a snapshot, and the change is
@@ -53,10 +56,20 @@
         malformed: List of (key, revision, detail) of the changes that cannot be used.
     """
 
-    __slots__ = ("announced_bytes", "changes", "is_snapshot", "malformed", "revision")
+    __slots__ = (
+        "announced_bytes",
+        "changes",
+        "is_snapshot",
+        "malformed",
+        "proof_age_s",
+        "revision",
+    )
 
-    def __init__(self, revision, is_snapshot, announced_bytes, changes, malformed):
+    def __init__(
+        self, revision, proof_age_s, is_snapshot, announced_bytes, changes, malformed
+    ):
         self.revision = revision
+        self.proof_age_s = proof_age_s
         self.is_snapshot = is_snapshot
         self.announced_bytes = announced_bytes
         self.changes = changes
@@ -94,15 +107,17 @@
         return _pack_record(PackedUpdate(revision=-1, changes=b""))
     if view.encoded is None or view.encoded.after != after:
         view.encoded = EncodedUpdate(after, _build_update(view, after))
-    update = view.encoded.update
-    size = len(update.changes)
-    if max_bytes and size > max_bytes:
-        update = PackedUpdate(
-            revision=update.revision,
-            is_snapshot=update.is_snapshot,
-            announced_bytes=size,
-            changes=b"",
-        )
+    built = view.encoded.update
+    size = len(built.changes)
+    is_announced = bool(max_bytes) and size > max_bytes
+    update = PackedUpdate(
+        revision=built.revision,
+        proof_age_ms=math.ceil(view_age_ms(view)),
+        is_snapshot=built.is_snapshot,
+        announced_bytes=size if is_announced else 0,
+        compressed=built.compressed and not is_announced,
+        changes=b"" if is_announced else built.changes,
+    )
     return _pack_record(update)
 
 
@@ -191,8 +206,14 @@
         ]
         if not update.is_snapshot:
             changes = [c for c in changes if c.document is not UNREADABLE]
+    proof_age_s = None if update.proof_age_ms < 0 else update.proof_age_ms / 1000.0
     return ViewUpdate(
-        update.revision, update.is_snapshot, update.announced_bytes, changes, malformed
+        update.revision,
+        proof_age_s,
+        update.is_snapshot,
+        update.announced_bytes,
+        changes,
+        malformed,
     )
 
 
--- a/packages/model/src/flamingolift_model/events.py
+++ b/packages/model/src/flamingolift_model/events.py
@@ -44,6 +44,20 @@
         "call",
         "outage_s",
     ),
+    "watch_silent": (
+        "revision",
+        "newest",
+    ),
+    "view_unproven": (
+        "cause",
+        "age_ms",
+    ),
+    "source_changed": (
+        "source",
+        "cause",
+        "revision",
+        "age_ms",
+    ),
     "store_history_lost": ("revision",),
     "view_read": (
         "revision",
@@ -234,6 +248,7 @@
         "service",
         "policy",
         "revision",
+        "view_age_ms",
         "elapsed_ms",
         "sends",
         "withheld",
--- a/packages/model/src/flamingolift_model/frontsettings.py
+++ b/packages/model/src/flamingolift_model/frontsettings.py
@@ -29,6 +29,7 @@
         domain_regions: Failure domain to its region.
         link_mbps: Bandwidth of the instance's link (Mbit/s); 0 when unknown.
         memory_limit_mb: Memory that the process may use (MB); 0 when unknown.
+        apply_s: Time in which an accepted change must be in force on every instance (s).
         grace_s: Time from the stop signal to the forced stop (s).
         lookup_ttl_s: Time to live of a look-up in a caller's cache (s).
         retry_ratio: Retry budget: retries allowed for each request, over the whole fleet (ratio).
@@ -37,6 +38,7 @@
     """
 
     __slots__ = (
+        "apply_s",
         "caller_port",
         "domain_regions",
         "failure_domain",
@@ -72,6 +74,7 @@
         Field("domain_regions", "map[str]", max=1024),
         Field("link_mbps", "float", default=0.0, min=0.0),
         Field("memory_limit_mb", "float", default=0.0, min=0.0),
+        Field("apply_s", "float", default=2.5, min=0.5),
         Field("grace_s", "float", default=6.0, min=0.1),
         Field("lookup_ttl_s", "float", default=2.0, min=0.1),
         Field("retry_ratio", "float", default=0.2, min=0.0, max=1.0),
@@ -96,6 +99,7 @@
         peer_seeds=None,
         link_mbps=0.0,
         memory_limit_mb=0.0,
+        apply_s=2.5,
         grace_s=6.0,
         lookup_ttl_s=2.0,
         retry_ratio=0.2,
@@ -117,6 +121,7 @@
         self.domain_regions = domain_regions
         self.link_mbps = link_mbps
         self.memory_limit_mb = memory_limit_mb
+        self.apply_s = apply_s
         self.grace_s = grace_s
         self.lookup_ttl_s = lookup_ttl_s
         self.retry_ratio = retry_ratio
--- a/packages/model/src/flamingolift_model/viewupdate.py
+++ b/packages/model/src/flamingolift_model/viewupdate.py
@@ -53,15 +53,24 @@
 
     Attributes:
         revision: Revision of the sender's view; -1 before its first read.
+        proof_age_ms: Age of the sender's proof that its view lacked nothing (ms); -1 when it has none.
         is_snapshot: Whether `changes` holds the whole view instead of the difference.
         announced_bytes: Size of the changes when they are larger than the receiver asked for and therefore left out; 0 when they are included (bytes).
         compressed: Whether `changes` is compressed with zlib.
         changes: msgpack form of the list of PackedChange, oldest first; empty when it was left out.
     """
 
-    __slots__ = ("announced_bytes", "changes", "compressed", "is_snapshot", "revision")
+    __slots__ = (
+        "announced_bytes",
+        "changes",
+        "compressed",
+        "is_snapshot",
+        "proof_age_ms",
+        "revision",
+    )
     FIELDS = (
         Field("revision", "int", min=-1, max=100000999999999999),
+        Field("proof_age_ms", "int", default=-1, min=-1, max=86400000),
         Field("is_snapshot", "bool", default=False),
         Field("announced_bytes", "int", default=0, min=0),
         Field("compressed", "bool", default=False),
@@ -73,12 +82,14 @@
         *,
         revision,
         changes,
+        proof_age_ms=-1,
         is_snapshot=False,
         announced_bytes=0,
         compressed=False,
     ):
         super().__init__()
         self.revision = revision
+        self.proof_age_ms = proof_age_ms
         self.is_snapshot = is_snapshot
         self.announced_bytes = announced_bytes
         self.compressed = compressed
