--- a/packages/cli/src/flamingolift_cli/tests/test_tracing.py
+++ b/packages/cli/src/flamingolift_cli/tests/test_tracing.py
@@ -51,3 +51,13 @@
     assert "was started after them" in explain_request([end], "q1")[2][0]
     end.update(outcome="unread")
     assert "counts as not read" in explain_request([end], "q1")[2][0]
+
+
+# Guards against a 404 on a new route whose trace does not tell that the view was old.
+def test_trace_says_how_old_the_view_may_be():
+    end = make_end("front-1", 9.0, [], status=404, view_age_ms=2600.0)
+    assert (
+        "no change of more than 2600.0 ms before" in explain_request([end], "q1")[2][0]
+    )
+    end.update(view_age_ms=-1)
+    assert "nothing had proven" in explain_request([end], "q1")[2][0]
--- a/packages/cli/src/flamingolift_cli/tracing.py
+++ b/packages/cli/src/flamingolift_cli/tracing.py
@@ -98,6 +98,9 @@
         f"{end['instance']} took it by policy {end['policy']}"
         f" (route {end['route'] or 'none'}, service {end['service'] or 'none'})"
     ]
+    age_ms = end.get("view_age_ms")
+    if age_ms is not None:
+        parts.append(_describe_age(age_ms))
     if end.get("waited_ms"):
         parts.append(_describe_wait(end))
     for server, rank, load, outcome, elapsed_ms in end["sends"]:
@@ -110,6 +113,12 @@
     return "; ".join(parts) + "."
 
 
+def _describe_age(age_ms):
+    if age_ms < 0:
+        return "nothing had proven how recent its view was"
+    return f"its view lacked no change of more than {age_ms} ms before"
+
+
 def _describe_wait(end):
     started = "was started meanwhile" if end["early"] else "was started after them"
     return (
