Count the time of a suspension in the age of a view

The monotonic clock stands still while a machine is suspended, so that an instance that was suspended for 5 s would have passed a proof of before on as half a second old, and its followers would have trusted that view for up to a renewal longer.

--- a/packages/decisions/src/flamingolift_decisions/freshness.py
+++ b/packages/decisions/src/flamingolift_decisions/freshness.py
@@ -3,7 +3,8 @@
 That a source responds proves that it lives, not that its view is recent. A proof is a
 statement that the store was at some revision as of some moment: an answer of the store,
 or of another instance that had such an answer. The view is proven as of that moment
-once it has reached that revision. All limits are shares of the time in which a change
+once it has reached that revision. Its clock must also run while the machine is
+suspended. All limits are shares of the time in which a change
 must be in force, so that the steps of a recovery together stay below it.
 """
 
@@ -46,11 +47,11 @@
 
     Attributes:
         proven_at: Latest moment as of which the view is known to have lacked nothing
-            (s, monotonic); minus infinity before the first proof.
+            (s); minus infinity before the first proof.
         position: Revision that the view has reached; -1 before the first read.
         newest: Highest revision that the store is known to have had.
         behind_since: Time from which the view has lacked that revision without any
-            progress (s, monotonic).
+            progress (s).
         pending: List of (moment, revision) of proofs for revisions that the view has
             not reached, oldest first.
         sighted: Highest revision that another instance claimed to have.
@@ -80,8 +81,8 @@
     Args:
         fresh: Freshness.
         revision: Position of the store.
-        as_of: The moment (s, monotonic).
-        now: Current time (s, monotonic).
+        as_of: The moment (s).
+        now: Current time (s).
     """
     if revision <= fresh.position:
         fresh.proven_at = max(fresh.proven_at, as_of)
@@ -101,8 +102,8 @@
     Args:
         fresh: Freshness.
         revision: Position of the store.
-        as_of: The moment (s, monotonic).
-        now: Current time (s, monotonic).
+        as_of: The moment (s).
+        now: Current time (s).
     """
     record_proof(fresh, revision, as_of, now)
     fresh.newest = revision
@@ -125,7 +126,7 @@
     Args:
         fresh: Freshness.
         revision: Position of the store.
-        now: Current time (s, monotonic).
+        now: Current time (s).
     """
     fresh.position = revision
     fresh.behind_since = now
@@ -150,7 +151,7 @@
     Args:
         fresh: Freshness.
         apply_s: Time in which a change must be in force (s).
-        now: Current time (s, monotonic).
+        now: Current time (s).
     """
     doubted = fresh.sighted > fresh.position
     return doubted or proof_age(fresh, now) >= renewal_age(apply_s)
--- a/packages/front/src/flamingolift_front/peersync.py
+++ b/packages/front/src/flamingolift_front/peersync.py
@@ -8,7 +8,7 @@
 
 from flamingolift_front import bytestream, httpcall, peerlink
 from flamingolift_front.eventlog import LARGE_MESSAGE_BYTES, log_event
-from flamingolift_front.viewage import note_proof
+from flamingolift_front.viewage import note_proof, view_time
 from flamingolift_front.viewsync import apply_changes, apply_snapshot
 from flamingolift_front.viewupdates import decode_update
 
@@ -87,7 +87,7 @@
     query = f"after={after}&wait_ms={int(wait_s * 1000)}&max_bytes={max_bytes}"
     if max_age_s is not None:
         query += f"&max_age_ms={int(max_age_s * 1000)}"
-    sent_at = time.monotonic()
+    sent_at = view_time()
     call = peerlink.open_get(link, f"/view?{query}")
     await bytestream.wait_readable(link.stream)
     began = time.monotonic()
@@ -103,10 +103,9 @@
     update = decode_update(response.body, front.view.revision)
     if update.proof_age_s is not None:
         # The response may have been held up on its way.
-        written_at = min(received, sent_at + wait_s)
-        note_proof(
-            front.view, update.revision, written_at - update.proof_age_s, received
-        )
+        now = view_time()
+        written_at = min(now, sent_at + wait_s)
+        note_proof(front.view, update.revision, written_at - update.proof_age_s, now)
     front.metrics.peer_bytes.labels("received").inc(len(response.body))
     if len(response.body) >= LARGE_MESSAGE_BYTES:
         log_event(
--- a/packages/front/src/flamingolift_front/state.py
+++ b/packages/front/src/flamingolift_front/state.py
@@ -181,7 +181,7 @@
         doubted: Event that is set while another instance claims to have more.
         follows: Whether the view comes from relays at present.
         proof_task: Task that renews the proof of the view, or None.
-        unproven_at: Time of the last attempt at that which failed (s, monotonic).
+        unproven_at: Time of the last attempt at that which failed (s, `view_time`).
         era: Latest era of the store that an answer named.
         era_changed: Event that is set and replaced when the era changes.
         applied_era: Era of the last changes that were applied.
--- a/packages/front/src/flamingolift_front/viewage.py
+++ b/packages/front/src/flamingolift_front/viewage.py
@@ -12,6 +12,7 @@
     "note_position",
     "note_proof",
     "view_age_ms",
+    "view_time",
     "wait_expired",
     "wait_silent",
 ]
@@ -24,14 +25,22 @@
 """Shortest pause between two looks at the age of a view (s)."""
 
 
+def view_time():
+    """Returns the time of the clock for proofs (s).
+
+    It also runs while the machine is suspended, unlike the monotonic clock of timers.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def note_proof(view, revision, as_of, now):
     """Records that another instance proved the store's revision as of some moment.
 
     Args:
         view: View.
         revision: Position of the store.
-        as_of: The moment (s, monotonic).
-        now: Current time (s, monotonic).
+        as_of: The moment (s, `view_time`).
+        now: Current time (s, `view_time`).
     """
     freshness.record_proof(view.freshness, revision, as_of, now)
     _update_events(view)
@@ -43,8 +52,8 @@
     Args:
         view: View.
         revision: Position of the store.
-        as_of: Latest moment before which the store may have answered (s, monotonic).
-        now: Current time (s, monotonic).
+        as_of: Latest moment before which the store may have answered (s, `view_time`).
+        now: Current time (s, `view_time`).
     """
     freshness.record_position(view.freshness, revision, as_of, now)
     _update_events(view)
@@ -66,7 +75,7 @@
 
     Args:
         view: View.
-        now: Current time (s, monotonic).
+        now: Current time (s, `view_time`).
     """
     freshness.advance(view.freshness, view.revision, now)
     _update_events(view)
@@ -87,7 +96,7 @@
 
 def view_age_ms(view):
     """Returns how old a view may be at most (ms); -1 when nothing proves it."""
-    age_s = freshness.proof_age(view.freshness, time.monotonic())
+    age_s = freshness.proof_age(view.freshness, view_time())
     return round(age_s * 1000.0, 1) if age_s < MAX_AGE_S else -1
 
 
@@ -102,9 +111,9 @@
     fresh, apply_s = front.view.freshness, front.cfg.apply_s
     limit_s = freshness.expiry_age(apply_s)
     grace_s = 2.0 * freshness.heartbeat_wait(apply_s)
-    expires_at = time.monotonic() + limit_s
+    expires_at = view_time() + limit_s
     while True:
-        now = time.monotonic()
+        now = view_time()
         # After an update, a source has time for one more heartbeat.
         last = max(fresh.proven_at + limit_s, fresh.behind_since + grace_s)
         expires_at = max(expires_at, last)
@@ -116,8 +125,8 @@
         # have arrived meanwhile.
         pause_s = max(MIN_PAUSE_S, min(expires_at - now, 0.5 * grace_s))
         await asyncio.sleep(pause_s)
-        if time.monotonic() > now + pause_s + STALL_S:
-            expires_at = max(expires_at, time.monotonic() + grace_s)
+        if view_time() > now + pause_s + STALL_S:
+            expires_at = max(expires_at, view_time() + grace_s)
 
 
 async def wait_silent(front):
@@ -128,11 +137,11 @@
     """
     view = front.view
     limit_s = freshness.catch_up_time(front.cfg.apply_s)
-    began = time.monotonic()
+    began = view_time()
     while True:
         await view.behind.wait()
         since = max(began, view.freshness.behind_since)
-        left_s = since + limit_s - time.monotonic()
+        left_s = since + limit_s - view_time()
         if left_s <= 0.0 and not front.store.is_receiving():
             return
         await asyncio.sleep(max(MIN_PAUSE_S, left_s))
--- a/packages/front/src/flamingolift_front/viewproof.py
+++ b/packages/front/src/flamingolift_front/viewproof.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import time
 
 from flamingolift_decisions import freshness
 from flamingolift_decisions.relays import proof_source
@@ -16,7 +15,7 @@
 from flamingolift_front import peerlink, peersync
 from flamingolift_front.backgroundtasks import start_task
 from flamingolift_front.eventlog import log_event
-from flamingolift_front.viewage import note_position, view_age_ms
+from flamingolift_front.viewage import note_position, view_age_ms, view_time
 
 __all__ = ["keep_proven", "renew_proof"]
 
@@ -36,7 +35,7 @@
         # What another instance claims to have usually arrives within this time.
         margin_s = freshness.catch_up_time(apply_s)
         await asyncio.sleep(margin_s)
-        now = time.monotonic()
+        now = view_time()
         is_due = freshness.is_due(view.freshness, apply_s, now)
         if is_due and not view.follows and view.revision is not None:
             await _join_renewal(front)
@@ -63,7 +62,7 @@
     if not _is_older(view, max_age_s):
         return True
     timeout_s = freshness.check_timeout(front.cfg.apply_s)
-    if time.monotonic() - view.unproven_at < timeout_s:
+    if view_time() - view.unproven_at < timeout_s:
         return False
     await _join_renewal(front)
     if view.behind.is_set():
@@ -77,7 +76,7 @@
 
 
 def _is_older(view, max_age_s):
-    return freshness.proof_age(view.freshness, time.monotonic()) > max_age_s
+    return freshness.proof_age(view.freshness, view_time()) > max_age_s
 
 
 async def _join_renewal(front):
@@ -91,7 +90,7 @@
 async def _renew(front):
     try:
         if not await _ask_source(front) and not await _ask_store(front):
-            front.view.unproven_at = time.monotonic()
+            front.view.unproven_at = view_time()
     finally:
         front.view.proof_task = None
 
@@ -138,7 +137,7 @@
     """Reads the store's revision; returns whether the store answered."""
     timeout_s = freshness.check_timeout(front.cfg.apply_s)
     for _attempt in range(CHECK_ATTEMPTS):
-        sent_at = time.monotonic()
+        sent_at = view_time()
         try:
             position = await front.store.read_position(timeout_s)
         except FaultError as exc:
@@ -146,7 +145,7 @@
             cause = exc.fault.detail
             continue
         front.metrics.store_calls.labels("position", "ok").inc()
-        note_position(front.view, position, sent_at, time.monotonic())
+        note_position(front.view, position, sent_at, view_time())
         return True
     log_event(front.log, "view_unproven", cause=cause, age_ms=view_age_ms(front.view))
     return False
--- a/packages/front/src/flamingolift_front/viewsource.py
+++ b/packages/front/src/flamingolift_front/viewsource.py
@@ -15,7 +15,7 @@
 from flamingolift_front import httpcall, peerlink, peersync, relaysync, viewsync
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.relaysync import FollowingEnd
-from flamingolift_front.viewage import view_age_ms
+from flamingolift_front.viewage import view_age_ms, view_time
 
 __all__ = ["pull_from_peers", "sync_view"]
 
@@ -130,13 +130,13 @@
 
 def _needs_peers(front):
     """Returns whether the store has been away for long, or the view is unproven."""
-    view, now = front.view, time.monotonic()
+    view = front.view
     if view.store_failed_at is not None:
-        return now - view.store_failed_at >= PULL_AFTER_S
+        return time.monotonic() - view.store_failed_at >= PULL_AFTER_S
     limit_s = freshness.expiry_age(front.cfg.apply_s)
     return (
         view.revision is not None
-        and freshness.proof_age(view.freshness, now) >= limit_s
+        and freshness.proof_age(view.freshness, view_time()) >= limit_s
     )
 
 
--- a/packages/front/src/flamingolift_front/viewsync.py
+++ b/packages/front/src/flamingolift_front/viewsync.py
@@ -23,6 +23,7 @@
     note_applied,
     note_position,
     note_proof,
+    view_time,
     wait_silent,
 )
 from flamingolift_front.viewera import is_behind_era, is_obsolete
@@ -107,12 +108,12 @@
         view.revision = None
     if view.revision is None:
         accept_stale = not view.documents
-        sent_at = time.monotonic()
+        sent_at = view_time()
         items, revision = await call_store(
             front, "read", front.store.read_all(accept_stale)
         )
         if not accept_stale:
-            note_position(view, revision, sent_at, time.monotonic())
+            note_position(view, revision, sent_at, view_time())
         apply_snapshot(front, items, revision)
         return False
     # During an outage a watch only probes the store, so it must not wait for changes.
@@ -139,7 +140,7 @@
         FaultError: The store did not answer.
     """
     view = front.view
-    sent_at = time.monotonic()
+    sent_at = view_time()
     watch = asyncio.ensure_future(front.store.watch(view.revision, wait_s))
     silence = asyncio.ensure_future(wait_silent(front))
     try:
@@ -151,7 +152,7 @@
             await asyncio.wait([watch])
             known = view.freshness.newest
             log_event(front.log, "watch_silent", revision=view.revision, newest=known)
-            sent_at = time.monotonic()
+            sent_at = view_time()
             found = await front.store.watch(view.revision, 0.0)
             if found is not None and found[1] < known:
                 return None
@@ -160,7 +161,7 @@
         silence.cancel()
         await asyncio.gather(watch, silence, return_exceptions=True)
     if found is not None:
-        note_proof(view, found[1], sent_at, time.monotonic())
+        note_proof(view, found[1], sent_at, view_time())
     return found
 
 
@@ -243,7 +244,7 @@
     _update_instance_count(front)
     view.revision = revision
     view.applied_era = era_of(revision)
-    note_applied(view, time.monotonic())
+    note_applied(view, view_time())
     _record_recent(view, changes)
 
 
