Ask a store that fails for long for no proofs

From the grace for followers on, the watch and the lease alone probe the store. The test fails without the change.

--- a/packages/front/src/flamingolift_front/tests/test_relaysync.py
+++ b/packages/front/src/flamingolift_front/tests/test_relaysync.py
@@ -10,7 +10,7 @@
 from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.lookups import serve_control
 from flamingolift_front.state import notify_change
-from flamingolift_front.viewserving import RELAY_GRACE_S
+from flamingolift_front.viewproof import RELAY_GRACE_S
 from flamingolift_front.viewsync import apply_changes
 from flamingolift_standins.linkproxy import Link, start_link_proxy, stop_link_proxy
 from frontviews import make_current_store, make_entry, make_policy
--- a/packages/front/src/flamingolift_front/tests/test_viewproof.py
+++ b/packages/front/src/flamingolift_front/tests/test_viewproof.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from flamingolift_front import viewage, viewproof, viewupdates
 from flamingolift_front.viewage import note_position, view_time
 from frontviews import make_current_store
@@ -20,6 +21,16 @@
     assert update.proof_age_s >= 5.0
 
 
+# Guards against proofs that multiply the calls of a store that is away.
+@pytest.mark.parametrize("is_lost", [False, True])
+async def test_store_that_fails_is_not_asked_for_proofs(new_front, is_lost):
+    front = new_front()
+    front.store = make_current_store(front)
+    if is_lost:
+        front.view.store_failed_at = time.monotonic() - viewproof.RELAY_GRACE_S
+    assert await viewproof.renew_proof(front, 0.5) is not is_lost
+
+
 # Guards against instances that each ask the store when many are asked at a time.
 async def test_renewal_in_progress_is_joined(new_front):
     front = new_front()
--- a/packages/front/src/flamingolift_front/viewproof.py
+++ b/packages/front/src/flamingolift_front/viewproof.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from flamingolift_decisions import freshness
 from flamingolift_decisions.relays import proof_source
@@ -17,8 +18,13 @@
 from flamingolift_front.eventlog import log_event
 from flamingolift_front.viewage import note_position, view_age_ms, view_time
 
-__all__ = ["keep_proven", "renew_proof"]
+__all__ = ["RELAY_GRACE_S", "keep_proven", "renew_proof"]
 
+RELAY_GRACE_S = 0.6
+"""Time for which an instance that lost the store keeps the peers that wait for its
+updates (s): a watch that was cut is repeated and the view read within that time. All
+relays lose their watches at once when the store does, and all followers of a region
+would read the store instead."""
 CHECK_ATTEMPTS = 2
 """Attempts to read the store's revision; the second one is on a new connection."""
 
@@ -134,7 +140,13 @@
 
 
 async def _ask_store(front):
-    """Reads the store's revision; returns whether the store answered."""
+    """Reads the store's revision; returns whether the store answered.
+
+    While the store fails for long, it is probed by the watch and the lease alone.
+    """
+    failed_at = front.view.store_failed_at
+    if failed_at is not None and time.monotonic() - failed_at >= RELAY_GRACE_S:
+        return False
     timeout_s = freshness.check_timeout(front.cfg.apply_s)
     for _attempt in range(CHECK_ATTEMPTS):
         sent_at = view_time()
--- a/packages/front/src/flamingolift_front/viewserving.py
+++ b/packages/front/src/flamingolift_front/viewserving.py
@@ -17,16 +17,10 @@
 from flamingolift_front.peersync import MAX_WAIT_S
 from flamingolift_front.responses import binary_response, problem_response
 from flamingolift_front.viewage import note_claim
-from flamingolift_front.viewproof import renew_proof
+from flamingolift_front.viewproof import RELAY_GRACE_S, renew_proof
 from flamingolift_front.viewupdates import encode_update
 
-__all__ = ["RELAY_GRACE_S", "serve_view"]
-
-RELAY_GRACE_S = 0.6
-"""Time for which an instance that lost the store keeps the peers that wait for its
-updates (s): a watch that was cut is repeated and the view read within that time. All
-relays lose their watches at once when the store does, and all followers of a region
-would read the store instead."""
+__all__ = ["serve_view"]
 
 
 async def serve_view(front, target):
