Point the mutation cases at the code they replace

F17 is detected again. F10 and F11 leave two mechanisms out now, as an instance without the store or with stopped relays is also helped by its proofs.

--- a/tools/bite.py
+++ b/tools/bite.py
@@ -184,9 +184,10 @@
         [
             (
                 f"{FRONT}/viewsource.py",
-                "if store_failed_at is None or time",
-                "if True or time",
-            )
+                "if not _needs_peers(front):",
+                "if True:",
+            ),
+            (f"{FRONT}/viewproof.py", "if source is None:", "if True:"),
         ],
         f"{VIEW}::test_instance_without_the_store_gets_changes_from_peers",
     ),
@@ -194,9 +195,16 @@
         [
             (
                 f"{FRONT}/relaysync.py",
-                "if relay_failed and not await _any_relay_responds(front, relays, failing):",
-                "if len(failing) == len(relays):",
-            )
+                "            if relay_failed:\n",
+                "            if len(failing) == len(relays):\n"
+                "                return FollowingEnd.RELAYS_FAILED\n"
+                "            if False:\n",
+            ),
+            (
+                f"{FRONT}/relaysync.py",
+                "wait_expired(front, following.announced.is_set)",
+                "asyncio.sleep(3600.0)",
+            ),
         ],
         f"{VIEW}::test_large_region_follows_relays_and_tolerates_two_that_are_suspended",
     ),
@@ -241,7 +249,7 @@
         f"{FRONT}/tests/test_relaysync.py::test_large_update_is_transferred_once",
     ),
     "F17 send a large update with the poll": (
-        [(f"{FRONT}/relaysync.py", "INLINE_BYTES = 8192", "INLINE_BYTES = 0")],
+        [(f"{FRONT}/peersync.py", "INLINE_BYTES = 8192", "INLINE_BYTES = 0")],
         f"{FRONT}/tests/test_relaysync.py::test_large_update_is_transferred_once",
     ),
     "F18 send documents uncompressed": (
