Tell changes without a proof

A relay that could not prove its view refused a heartbeat even when it had a change that the follower lacked. Found by reading. The test fails without the change: status 503 for a follower that is behind.

--- a/packages/front/src/flamingolift_front/tests/test_viewproof.py
+++ b/packages/front/src/flamingolift_front/tests/test_viewproof.py
@@ -5,6 +5,7 @@
 
 import pytest
 from flamingolift_front import viewage, viewproof, viewupdates
+from flamingolift_front.internalapi import handle_internal
 from flamingolift_front.viewage import note_position, view_time
 from frontviews import make_current_store
 
@@ -46,3 +47,15 @@
     renewals = [viewproof.renew_proof(front, 0.5) for _ in range(20)]
     assert all(await asyncio.gather(*renewals))
     assert len(calls) == 1
+
+
+# Guards against a relay that keeps a change to itself because it cannot prove that
+# there is no newer one.
+async def test_changes_are_told_without_a_proof(new_front):
+    front = new_front()
+    front.view.store_failed_at = time.monotonic() - viewproof.RELAY_GRACE_S
+    answers = [
+        await handle_internal(front, f"/view?after={after}&wait_ms=0&max_age_ms=500")
+        for after in (9, 10)
+    ]
+    assert [answer.status for answer in answers] == [200, 503]
--- a/packages/front/src/flamingolift_front/viewserving.py
+++ b/packages/front/src/flamingolift_front/viewserving.py
@@ -33,9 +33,10 @@
             announced, and in `max_age_ms` the largest age that the view may have.
 
     Returns:
-        HttpResponse with the update; status 503 when the view is older and cannot be
-        proven to be recent, and to a peer that long-polls while the store has been
-        unavailable to this instance for `RELAY_GRACE_S`, or the instance is stopping.
+        HttpResponse with the update; status 503 when the view has no changes, is older
+        and cannot be proven to be recent, and to a peer that long-polls while the store
+        has been unavailable to this instance for `RELAY_GRACE_S`, or the instance is
+        stopping.
     """
     query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query))
     after = _int_parameter(query, "after", -1)
@@ -50,7 +51,9 @@
             Fault(ResultCode.STORE_UNAVAILABLE, "no updates to relay")
         )
     max_age_ms = _int_parameter(query, "max_age_ms", None)
-    if max_age_ms is not None and not await renew_proof(front, max_age_ms / 1000.0):
+    # Changes are worth telling whatever their age.
+    needs_proof = max_age_ms is not None and (view.revision or -1) <= after
+    if needs_proof and not await renew_proof(front, max_age_ms / 1000.0):
         return problem_response(
             Fault(ResultCode.STORE_UNAVAILABLE, "the view may be out of date")
         )
