Await the probe of relays, and use one word for claims

"Sighting" and "claim" were two words for one thing, and whether a view is doubted was computed in two places. Two docstrings named what has moved. No decision changes. Run: formatter, linter, import contracts, the unit tests of freshness, relays and proofs; then test_view_age, test_viewsimulation, test_mixed_builds.

--- a/packages/decisions/src/flamingolift_decisions/freshness.py
+++ b/packages/decisions/src/flamingolift_decisions/freshness.py
@@ -4,8 +4,8 @@
 statement that the store was at some revision as of some moment: an answer of the store,
 or of another instance that had such an answer. The view is proven as of that moment
 once it has reached that revision. Its clock must also run while the machine is
-suspended. All limits are shares of the time in which a change
-must be in force, so that the steps of a recovery together stay below it.
+suspended. All limits are shares of the time in which a change must be in force, so that
+the steps of a recovery together stay below it.
 """
 
 import math
@@ -18,11 +18,12 @@
     "expiry_age",
     "heartbeat_wait",
     "is_behind",
+    "is_doubted",
     "is_due",
     "proof_age",
+    "record_claim",
     "record_position",
     "record_proof",
-    "record_sighting",
     "renewal_age",
 ]
 
@@ -54,16 +55,16 @@
             progress (s).
         pending: List of (moment, revision) of proofs for revisions that the view has
             not reached, oldest first.
-        sighted: Highest revision that another instance claimed to have.
+        claimed: Highest revision that another instance claimed to have.
     """
 
     __slots__ = (
         "behind_since",
+        "claimed",
         "newest",
         "pending",
         "position",
         "proven_at",
-        "sighted",
     )
 
     def __init__(self):
@@ -72,7 +73,7 @@
         self.newest = -1
         self.behind_since = 0.0
         self.pending = []
-        self.sighted = -1
+        self.claimed = -1
 
 
 def record_proof(fresh, revision, as_of, now):
@@ -107,17 +108,17 @@
     """
     record_proof(fresh, revision, as_of, now)
     fresh.newest = revision
-    fresh.sighted = -1
+    fresh.claimed = -1
 
 
-def record_sighting(fresh, revision):
+def record_claim(fresh, revision):
     """Records that another instance claims to have a revision.
 
     Args:
         fresh: Freshness.
         revision: Position of the store.
     """
-    fresh.sighted = max(fresh.sighted, revision)
+    fresh.claimed = max(fresh.claimed, revision)
 
 
 def advance(fresh, revision, now):
@@ -140,6 +141,11 @@
     return fresh.newest > fresh.position
 
 
+def is_doubted(fresh):
+    """Returns whether another instance claims to have more than the view."""
+    return fresh.claimed > fresh.position
+
+
 def proof_age(fresh, now):
     """Returns how old the view may be at most (s)."""
     return now - fresh.proven_at
@@ -153,8 +159,7 @@
         apply_s: Time in which a change must be in force (s).
         now: Current time (s).
     """
-    doubted = fresh.sighted > fresh.position
-    return doubted or proof_age(fresh, now) >= renewal_age(apply_s)
+    return is_doubted(fresh) or proof_age(fresh, now) >= renewal_age(apply_s)
 
 
 def renewal_age(apply_s):
--- a/packages/decisions/src/flamingolift_decisions/tests/test_freshness.py
+++ b/packages/decisions/src/flamingolift_decisions/tests/test_freshness.py
@@ -97,7 +97,7 @@
 
     @rule(watcher=st.integers(0, WATCHERS), claim=st.integers(0, 50))
     def claim(self, watcher, claim):
-        freshness.record_sighting(self.views[watcher], claim)
+        freshness.record_claim(self.views[watcher], claim)
 
     @rule(watcher=st.integers(0, WATCHERS - 1))
     def restart(self, watcher):
@@ -155,7 +155,7 @@
     fresh = freshness.Freshness()
     freshness.record_position(fresh, 5, 1.0, 1.0)
     freshness.advance(fresh, 5, 1.0)
-    freshness.record_sighting(fresh, 1000)
+    freshness.record_claim(fresh, 1000)
     assert freshness.is_due(fresh, APPLY_S, 1.1)
     assert not freshness.is_behind(fresh)
     freshness.record_position(fresh, 5, 1.2, 1.2)
--- a/packages/front/src/flamingolift_front/relaysync.py
+++ b/packages/front/src/flamingolift_front/relaysync.py
@@ -175,16 +175,11 @@
                     failing.add(name)
                     relay_failed = True
             if relay_failed:
-                probe = asyncio.ensure_future(
-                    _any_relay_responds(front, relays, failing)
-                )
-                await asyncio.wait(
-                    [probe, expired], return_when=asyncio.FIRST_COMPLETED
-                )
-                if not probe.done():
-                    probe.cancel()
+                probe = _any_relay_responds(front, relays, failing)
+                responds = await _result_before(probe, expired)
+                if responds is None:
                     return FollowingEnd.UNPROVEN
-                if not probe.result():
+                if not responds:
                     return FollowingEnd.RELAYS_FAILED
             is_waiting = following.announced.is_set()
             if watched in failing and len(failing) < len(order) and not is_waiting:
@@ -322,6 +317,17 @@
     return True
 
 
+async def _result_before(call, limit):
+    """Returns the result of a coroutine, or None when a task ends before it."""
+    task = asyncio.ensure_future(call)
+    try:
+        await asyncio.wait([task, limit], return_when=asyncio.FIRST_COMPLETED)
+        return task.result() if task.done() else None
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def _any_relay_responds(front, relays, failing):
     """Returns whether a relay other than the failing ones responds at once.
 
--- a/packages/front/src/flamingolift_front/viewage.py
+++ b/packages/front/src/flamingolift_front/viewage.py
@@ -34,7 +34,7 @@
 
 
 def note_proof(view, revision, as_of, now):
-    """Records that another instance proved the store's revision as of some moment.
+    """Records that the store was at a revision as of some moment.
 
     Args:
         view: View.
@@ -66,7 +66,7 @@
         view: View.
         revision: Position of the store.
     """
-    freshness.record_sighting(view.freshness, revision)
+    freshness.record_claim(view.freshness, revision)
     _update_events(view)
 
 
@@ -84,7 +84,7 @@
 def _update_events(view):
     fresh = view.freshness
     _set(view.behind, freshness.is_behind(fresh))
-    _set(view.doubted, fresh.sighted > fresh.position)
+    _set(view.doubted, freshness.is_doubted(fresh))
 
 
 def _set(event, value):
--- a/packages/front/src/flamingolift_front/viewproof.py
+++ b/packages/front/src/flamingolift_front/viewproof.py
@@ -1,4 +1,4 @@
-"""Renews the proof of how recent the view is, and finds sources that went silent.
+"""Renews the proof of how recent the view is.
 
 The instances of a region that watch the store share the calls that this takes: the
 first of them asks the first of all regions, the others ask it, and each asks the store
